--- a/sorrelrill/logic.py
+++ b/rookbend/logic.py
@@ -7,8 +7,8 @@
 import math
 from collections import OrderedDict, deque
 
-from sorrelrill import interface as api
-from sorrelrill.interface import Effect, ListKind, MemberState, Note, Status
+from rookbend import interface as api
+from rookbend.interface import Effect, ListKind, MemberState, Note, Status
 
 # Tuned values: ratios of the settings or of what was observed.
 TABLE_SHARE = 0.5        # marks at most, as a share of the requests a router may hold
--- a/sorrelrill/simhost.py
+++ b/rookbend/simhost.py
@@ -4,8 +4,8 @@
 
 import sys
 
-from sorrelrill import wire
-from sorrelrill.logic import Router
+from rookbend import wire
+from rookbend.logic import Router
 
 
 def read_exactly(stream, size: int) -> bytes:
@@ -50,7 +50,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"sorrelrill: {error}", file=sys.stderr)
+        print(f"rookbend: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/sorrelrill/wire.py
+++ b/rookbend/wire.py
@@ -5,7 +5,7 @@
 import struct
 from dataclasses import dataclass
 
-from sorrelrill import interface as api
+from rookbend import interface as api
 
 HEADER = struct.Struct(">QIII")
 REPLY_HEADER = struct.Struct(">II")
--- a/tests/test_collapse.py
+++ b/tests/test_collapse.py
@@ -1,6 +1,6 @@
 """The ordinary path: leaders, waiters, hand-over, the near-aim exit, the hash."""
 
-from sorrelrill import interface as api
+from rookbend import interface as api
 from tests.rig import CACHES, ELSEWHERE, EVERYONE, ORIGIN, PARENTS, SECOND, Rig, finals, sends
 
 
--- a/tests/test_robust.py
+++ b/tests/test_robust.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sorrelrill import interface as api
+from rookbend import interface as api
 from tests.rig import CACHES, MEDIA, ORIGIN, PARENTS, SECOND, Rig, finals, sends
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,6 @@
 """The five rules, each kept by one router alone."""
 
-from sorrelrill import interface as api
+from rookbend import interface as api
 from tests.rig import CACHES, EVERYONE, ORIGIN, PARENTS, SECOND, Rig, finals, sends
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from sorrelrill import interface as api
-from sorrelrill import wire
+from rookbend import interface as api
+from rookbend import wire
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = """\
@@ -55,7 +55,7 @@
 
 
 def run(data):
-    return subprocess.run([sys.executable, "-m", "sorrelrill.simhost"], input=data, capture_output=True,
+    return subprocess.run([sys.executable, "-m", "rookbend.simhost"], input=data, capture_output=True,
                           cwd=ROOT, timeout=60)
 
 
@@ -77,7 +77,7 @@
 def test_bad_input_ends_with_one_plain_line(data):
     done = run(data)
     assert done.returncode != 0
-    assert done.stderr.startswith(b"sorrelrill: ") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"rookbend: ") and done.stderr.count(b"\n") == 1
 
 
 def test_missing_setting_is_named():
