--- /dev/null
+++ b/rookbend/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m rookbend`: serves, unless a sub-command says otherwise."""
+
+import sys
+
+from rookbend.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/rookbend/core/clock.py
@@ -0,0 +1,32 @@
+"""The one place where Unix time and the monotonic clock meet."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+
+class Clock:
+    """Microseconds that start at the Unix time of the anchoring and go on with the monotonic clock.
+
+    Every time inside the program is one of these. The rules are judged by the system's Unix clock, so
+    the anchor is renewed (`anchor`) as the coordinator's events come in; it only ever moves forward.
+    """
+
+    def __init__(self, monotonic: Callable[[], float], unix: Callable[[], float] = time.time):
+        self._monotonic, self._unix = monotonic, unix
+        self._offset = self._read_offset()
+
+    def _read_offset(self) -> int:
+        return int(self._unix() * 1e6) - int(self._monotonic() * 1e6)
+
+    def anchor(self) -> None:
+        # Guards against a stepped-back system clock: deadlines already given out must not move away.
+        self._offset = max(self._offset, self._read_offset())
+
+    def now(self) -> int:
+        return int(self._monotonic() * 1e6) + self._offset
+
+    def monotonic_at(self, now_us: int) -> float:
+        """The monotonic reading, in seconds, at which this clock shows `now_us`."""
+        return (now_us - self._offset) / 1e6
--- /dev/null
+++ b/rookbend/core/counters.py
@@ -0,0 +1,38 @@
+"""Counters of intake, sends and answers: printed on SIGUSR1 and at exit."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+
+
+@dataclass(slots=True)
+class Counters:
+    requests: int = 0           # taken from clients, all fronts
+    retries: int = 0            # of these, marked as a client's repeat
+    malformed: int = 0          # requests answered without reaching the module
+    cancelled: int = 0          # ended by their client
+    attempts: int = 0           # handed to the backend
+    withheld: int = 0           # not written: drained, purged or over by then
+    undone: int = 0             # given up after they were written
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    late_guard: int = 0         # answered by the deadline guard, not by the module
+    ok: int = 0
+    miss: int = 0
+    full: int = 0
+    error: int = 0
+    timeout: int = 0
+    connect_failed: int = 0
+    reset: int = 0
+    moot: int = 0
+    purges: int = 0
+    roster_changes: int = 0
+    clients: int = 0            # connections accepted
+    clients_dropped: int = 0    # of these, closed for bad input or for reading too slowly
+    connects: int = 0           # connections opened to members
+    garbage: int = 0            # connections to members closed for answers that can't be read
+    peer_messages: int = 0
+
+    def line(self) -> str:
+        return " ".join(f"{name}={value}" for name, value in asdict(self).items())
--- /dev/null
+++ b/rookbend/core/model.py
@@ -0,0 +1,105 @@
+"""What the core deals in: requests, attempts, results and answers, and what the coordinator tells."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from rookbend.interface import Member, Note, Status
+
+
+class Verdict(Enum):
+    """The final answer to a request, in the words of every front."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Request:
+    """What a front asks of the core. The deadline is absolute, on the director's clock.
+
+    `key` is the object's name as the client wrote it, `rid` the request's; both go on unchanged.
+    """
+
+    rid: str
+    traffic_class: int
+    class_name: str
+    key: str
+    object_id: int
+    deadline_us: int
+    part: int = 0
+    group: int = 0
+    is_retry: bool = False
+    known: str = ""
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Answer:
+    """The one final answer. `server` names the member that served it."""
+
+    verdict: Verdict
+    body: bytes = b""
+    unchanged: bool = False
+    backoff_us: int = 0
+    server: int = 0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One try of a request at one member. `due_us` is absolute."""
+
+    request: Request
+    id: int
+    number: int
+    server: int
+    source: int          # equal to `server` or 0: nothing is filled
+    sent_us: int
+    due_us: int
+    keep: int = 0
+    max_age_us: int = 0
+    join: bool = False
+    only_if_held: bool = False
+    parent_keeps_none: bool = False
+    renew: bool = False
+    over: bool = False
+    link: object = None  # the backend's own: where the attempt is
+
+
+@dataclass(slots=True)
+class Result:
+    """How an attempt ended, as the backend saw it."""
+
+    status: Status
+    note: Note = Note.NONE
+    fill_wait_us: int = 0
+    load: tuple[float, ...] = ()
+    body: bytes = b""
+    unchanged: bool = False
+
+
+@dataclass(slots=True)
+class Entry:
+    """A line of the roster: the member as the module sees it, its name and its address."""
+
+    member: Member
+    name: str
+    address: tuple[str, int]
+
+
+@dataclass(slots=True)
+class RosterChange:
+    complete: bool
+    version: int
+    entries: list[Entry] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Purge:
+    """A purge of one object, or of a whole group where `object_id` is None. Unix microseconds."""
+
+    object_id: int | None
+    group: int
+    unix_us: int
--- /dev/null
+++ b/rookbend/fronts/platform.py
@@ -0,0 +1,130 @@
+"""The platform's front: a client's frames to requests of the core, answers to frames. No socket here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from rookbend.core.engine import Engine, Live
+from rookbend.core.model import Answer, Request, Verdict
+from rookbend.protocol import frames
+from rookbend.protocol.events import object_number
+
+STREAMS = 32                # open requests on one connection
+LONGEST_WRITE = 48_000
+DEADLINE_MARGIN_US = 10_000     # kept back of the budget, for the way to the client
+CODES = {Verdict.SERVED: frames.SERVED, Verdict.REFUSED: frames.REFUSED, Verdict.FAILED: frames.FAILED}
+UNCHANGED = frames.write_fields({"valid": "1"})
+HEX = frozenset("0123456789abcdefABCDEF")
+
+
+class Malformed(ValueError):
+    """A request whose fields can't be used."""
+
+
+def _hex16(value: str) -> str:
+    if len(value) != 16 or not HEX.issuperset(value):
+        raise Malformed("no 16 hex digits")
+    return value
+
+
+def _number(value: str, most: int) -> int:
+    if not (value.isascii() and value.isdigit()) or int(value) > most:
+        raise Malformed("no number within its bounds")
+    return int(value)
+
+
+class PlatformFront:
+    """What all client connections share: the engine, the classes, whether the director is ready."""
+
+    def __init__(self, engine: Engine, is_ready: Callable[[], bool], is_closing: Callable[[], bool]):
+        self.engine, self.is_ready, self.is_closing = engine, is_ready, is_closing
+        settings = engine.settings
+        self.classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self.backoff_us = settings.max_retry_after_us if settings.retry_after else 0
+
+    def read_request(self, frame: frames.RequestFrame) -> Request:
+        f, now = frame.fields, self.engine.clock.now()
+        if f is None:
+            raise Malformed("the fields can't be read")
+        name = f["method"]
+        index = self.classes[name]
+        budget = _number(f["budget"], 3_600_000) * 1000
+        known = f.get("known", "")
+        if known:
+            _hex16(known)
+        if len(frame.body) > (LONGEST_WRITE if self.engine.settings.classes[index].write else 0):
+            raise Malformed("the body is too long")
+        margin = min(DEADLINE_MARGIN_US, budget // 10)
+        return Request(
+            _hex16(f["rid"]), index, name, _hex16(f["obj"]), object_number(f["obj"]), now + budget - margin,
+            _number(f.get("chunk", "0"), 0xFFFFFF), _number(f.get("tag", "0"), 255), f.get("again") == "1",
+            known, frame.body)
+
+
+class PlatformSession:
+    """One client connection: fed its bytes, writes answers by `write`."""
+
+    def __init__(self, front: PlatformFront, write: Callable[[bytes], None]):
+        self.front, self.write = front, write
+        self.parser = frames.FrameParser()
+        self.live: dict[int, Live | None] = {}
+
+    def feed(self, data: bytes) -> bool:
+        """Takes what came; False when the connection can't go on."""
+        broken = False
+        try:
+            events = self.parser.feed(data)
+        except frames.FrameError as error:
+            events, broken = error.events, True
+        for event in events:
+            kind = type(event)
+            if kind is frames.RequestFrame:
+                if event.stream in self.live:
+                    broken = True       # two requests on one stream: no answer could be told from the other
+                    break
+                self._request(event)
+            elif kind is frames.CancelFrame:
+                self.front.engine.cancel(self.live.pop(event.stream, None))
+            else:
+                code = frames.SERVED if self.front.is_ready() else frames.NOT_READY
+                self.write(frames.write_answer(event.stream, code, kind=frames.READY))
+        if broken:
+            self.front.engine.counters.malformed += 1
+            self.write(frames.write_answer(0, frames.FAILED))
+        return not broken
+
+    def _request(self, frame: frames.RequestFrame) -> None:
+        stream, engine = frame.stream, self.front.engine
+        if len(self.live) >= STREAMS or self.front.is_closing():
+            engine.counters.requests += 1
+            engine.counters.refused += 1
+            return self._write(stream, Answer(Verdict.REFUSED, backoff_us=self.front.backoff_us))
+        try:
+            request = self.front.read_request(frame)
+        except (KeyError, ValueError):
+            engine.counters.malformed += 1
+            return self.write(frames.write_answer(stream, frames.FAILED))
+        self.live[stream] = None
+        live = engine.submit(request, lambda answer: self._answer(stream, answer))
+        if stream in self.live:     # not answered within the call
+            self.live[stream] = live
+
+    def _answer(self, stream: int, answer: Answer) -> None:
+        del self.live[stream]
+        self._write(stream, answer)
+
+    def _write(self, stream: int, answer: Answer) -> None:
+        fields = frames.NO_FIELDS
+        if answer.unchanged:
+            fields = UNCHANGED
+        elif answer.backoff_us:
+            fields = frames.write_fields({"backoff": str(answer.backoff_us // 1000)})
+        self.write(frames.write_answer(stream, CODES[answer.verdict], fields, answer.body))
+
+    def say_closing(self) -> None:
+        self.write(frames.write_closing())
+
+    def gone(self) -> None:
+        """The connection has broken: nobody waits any more."""
+        for stream in list(self.live):
+            self.front.engine.cancel(self.live.pop(stream, None))
--- /dev/null
+++ b/rookbend/net/channel.py
@@ -0,0 +1,103 @@
+"""A non-blocking TCP connection: written to at once where the socket takes it, else from a backlog."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+
+import trio
+
+RECEIVE = 1 << 18
+
+
+class Channel:
+    """Writes are synchronous, so what is checked before a write still holds when its bytes go out."""
+
+    def __init__(self, sock: socket.socket, nursery: trio.Nursery):
+        self.sock, self._nursery = sock, nursery
+        self._backlog: deque[memoryview] = deque()
+        self.queued = 0             # bytes in the backlog
+        self.written = 0            # bytes that the socket has taken
+        self.progress_at = 0.0      # when it last took some
+        self.closed = self.broken = False
+        self.on_drained = None      # called when a backlog has gone out, or never will
+
+    def write(self, data: bytes) -> None:
+        """Takes the bytes whole; an error shows at the next read."""
+        if self.closed or self.broken:
+            return
+        sent = 0
+        if not self._backlog:
+            try:
+                sent = self.sock.send(data)
+            except BlockingIOError:
+                pass
+            except OSError:
+                return self.shut()
+            self.written += sent
+            if sent == len(data):
+                return
+            self.progress_at = trio.current_time()
+            self._nursery.start_soon(self._flush)
+        self._backlog.append(memoryview(data)[sent:])
+        self.queued += len(data) - sent
+
+    async def _flush(self) -> None:
+        backlog = self._backlog
+        try:
+            while backlog:
+                await trio.lowlevel.wait_writable(self.sock)
+                if not backlog:
+                    return      # broken or closed while this waited
+                sent = self.sock.send(backlog[0])
+                self.written += sent
+                self.queued -= sent
+                self.progress_at = trio.current_time()
+                if sent == len(backlog[0]):
+                    backlog.popleft()
+                else:
+                    backlog[0] = backlog[0][sent:]
+        except (OSError, trio.ClosedResourceError):
+            return self.shut()
+        if not (self.closed or self.broken) and self.on_drained is not None:
+            self.on_drained()
+
+    async def receive(self) -> bytes:
+        """The next bytes; empty at the end of the connection, however it came."""
+        while not self.closed:
+            try:
+                await trio.lowlevel.wait_readable(self.sock)
+                return self.sock.recv(RECEIVE)
+            except BlockingIOError:
+                continue
+            except (OSError, trio.ClosedResourceError):
+                break
+        return b""
+
+    def shut(self) -> None:
+        """Breaks the connection both ways; the reader sees its end and closes it."""
+        if self.closed or self.broken:
+            return
+        self.broken = True
+        self._backlog.clear()
+        self.queued = 0
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        if self.on_drained is not None:
+            self.on_drained()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._backlog.clear()
+            self.queued = 0
+            trio.lowlevel.notify_closing(self.sock)
+            self.sock.close()
+
+
+def prepare(sock: socket.socket) -> socket.socket:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
--- /dev/null
+++ b/rookbend/net/peers.py
@@ -0,0 +1,42 @@
+"""The driver of the datagrams between directors."""
+
+from __future__ import annotations
+
+import socket
+
+import trio
+
+from rookbend.core.engine import Engine
+
+MOST_BYTES = 256
+
+
+class PeerSocket:
+    """A datagram that can't go out at once is lost, as one on the way may be."""
+
+    def __init__(self, engine: Engine, listen: tuple[str, int], peers: list[tuple[str, int]],
+                 everyone: tuple[str, int] | None):
+        self.engine, self.peers, self.everyone = engine, peers, everyone
+        self.numbers = {address: i for i, address in enumerate(peers)}
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(listen)
+
+    def send(self, peer: int | None, data: bytes) -> None:
+        address = self.everyone if peer is None else self.peers[peer] if peer < len(self.peers) else None
+        if address is not None and len(data) <= MOST_BYTES:
+            try:
+                self.sock.sendto(data, address)
+            except OSError:
+                pass
+
+    async def run(self) -> None:
+        while True:
+            await trio.lowlevel.wait_readable(self.sock)
+            try:
+                data, address = self.sock.recvfrom(MOST_BYTES + 1)
+            except OSError:
+                continue        # an earlier datagram of ours was refused
+            sender = self.numbers.get(address[:2])
+            if sender is not None and len(data) <= MOST_BYTES:
+                self.engine.peer_message(sender, data)
--- /dev/null
+++ b/rookbend/net/pool.py
@@ -0,0 +1,249 @@
+"""Connections to caches, parents and the origin: multiplexed, bounded, closed when idle."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+
+import trio
+
+from rookbend.core.counters import Counters
+from rookbend.core.engine import Engine
+from rookbend.core.model import Attempt, Entry, Result
+from rookbend.interface import Status
+from rookbend.net.channel import Channel, prepare
+from rookbend.protocol import lines
+
+CONNECTING = 2              # connects under way to one member
+CONNECTIONS = 16            # connections to one member
+IDLE_SHARE = 0.8            # closed after this share of the idle time, before the other side does
+UNDONE_KEPT = 512           # ids given up on a connection that are not used on it again
+
+
+class Link:
+    """One connection to a member, and the attempts that are out on it."""
+
+    def __init__(self, upstream: Upstream, channel: Channel, report_fields: tuple[str, ...]):
+        self.upstream, self.channel, self.parser = upstream, channel, lines.AnswerParser(report_fields)
+        self.open: dict[str, Attempt] = {}
+        self.ends: dict[str, int] = {}          # where in the connection's bytes a request ends
+        self.undone: dict[str, None] = {}
+        self.heard_us = self.used_us = 0
+        self.suspect = False                    # silent: nothing new goes out on it
+
+    def whole(self, rid: str) -> bool:
+        """Whether the request's last byte has been written."""
+        return self.channel.written >= self.ends[rid]
+
+
+class Upstream:
+    """One member: its connections, and the attempts that wait for one."""
+
+    def __init__(self, pool: Pool, entry: Entry):
+        self.pool, self.entry = pool, entry
+        self.links: list[Link] = []
+        self.waiting: deque[Attempt] = deque()
+        self.connecting = 0
+        self.retired = False
+
+    def send(self, attempt: Attempt) -> None:
+        link = self._link_for(attempt)
+        if link is not None:
+            return self._write(link, attempt)
+        self.waiting.append(attempt)
+        self._connect_as_needed()
+
+    def _link_for(self, attempt: Attempt) -> Link | None:
+        rid = attempt.request.rid
+        for link in self.links:
+            # An id given up here may still have an answer on its way: it is not used here again.
+            if (len(link.open) < self.pool.max_streams and not link.suspect and not link.channel.queued
+                    and rid not in link.undone and rid not in link.open):
+                return link
+        return None
+
+    def _connect_as_needed(self) -> None:
+        room = self.connecting * self.pool.max_streams
+        if (len(self.waiting) > room and self.connecting < CONNECTING
+                and len(self.links) + self.connecting < CONNECTIONS):
+            self.connecting += 1
+            self.pool.nursery.start_soon(self._connect)
+
+    def pump(self) -> None:
+        """Gives waiting attempts the room there is now."""
+        waiting = self.waiting
+        for _ in range(len(waiting)):
+            attempt = waiting.popleft()
+            if attempt.over:
+                continue
+            link = self._link_for(attempt)
+            if link is None:
+                waiting.append(attempt)
+            else:
+                self._write(link, attempt)
+        if waiting:
+            self._connect_as_needed()
+
+    def _write(self, link: Link, attempt: Attempt) -> None:
+        """The last check, then the bytes, with nothing in between."""
+        engine = self.pool.engine
+        if not engine.may_write(attempt):
+            engine.counters.withheld += 1
+            return engine.finished(attempt, Result(Status.MOOT))
+        now = engine.clock.now()
+        source = engine.entries[attempt.source].name if attempt.source else ""
+        data = lines.write_do(attempt, now, source)
+        rid, channel = attempt.request.rid, link.channel
+        link.open[rid] = attempt
+        link.ends[rid] = channel.written + channel.queued + len(data)
+        link.used_us = now
+        attempt.link = link
+        channel.write(data)
+
+    def undo(self, link: Link, attempt: Attempt) -> Status:
+        rid, now = attempt.request.rid, self.pool.engine.clock.now()
+        whole = link.whole(rid)
+        del link.open[rid], link.ends[rid]
+        link.undone[rid] = None
+        if len(link.undone) > UNDONE_KEPT:
+            del link.undone[next(iter(link.undone))]
+        link.channel.write(lines.write_undo(rid))
+        self.pool.engine.counters.undone += 1
+        if link.heard_us < attempt.sent_us and now - attempt.sent_us > self.pool.connect_timeout_us:
+            # A vanished machine leaves its connections open and silent: what comes next takes a new one.
+            link.suspect = True
+        self.tidy(link)
+        return Status.TIMEOUT if whole else Status.CONNECT_FAILED
+
+    def tidy(self, link: Link) -> None:
+        if (link.suspect or self.retired) and not link.open:
+            link.channel.shut()
+
+    async def _connect(self) -> None:
+        engine, sock, failed = self.pool.engine, None, True
+        due = engine.clock.now() + self.pool.connect_timeout_us
+        try:
+            with trio.CancelScope(deadline=engine.clock.monotonic_at(due)):
+                sock = await open_socket(self.entry.address)
+                failed = False
+        except OSError:
+            pass
+        finally:
+            self.connecting -= 1
+        if failed:
+            return self._connect_failed()
+        self.pool.counters.connects += 1
+        link = Link(self, Channel(sock, self.pool.nursery), self.pool.report_fields)
+        link.channel.on_drained = self.pump
+        link.used_us = link.heard_us = engine.clock.now()
+        self.links.append(link)
+        self.pump()
+        await self._read(link)
+
+    def _connect_failed(self) -> None:
+        if any(not link.suspect for link in self.links) or self.connecting:
+            return
+        waiting, self.waiting = self.waiting, deque()
+        for attempt in waiting:
+            self.pool.engine.finished(attempt, Result(Status.CONNECT_FAILED))
+
+    async def _read(self, link: Link) -> None:
+        engine = self.pool.engine
+        try:
+            while data := await link.channel.receive():
+                link.heard_us = engine.clock.now()
+                for answer in link.parser.feed(data):
+                    attempt = link.open.pop(answer.rid, None)
+                    if attempt is not None:     # else it was given up while this answer was on its way
+                        del link.ends[answer.rid]
+                        engine.finished(attempt, answer.result)
+                if self.waiting:
+                    self.pump()
+                self.tidy(link)
+        except lines.LineError as error:
+            self.pool.counters.garbage += 1
+            engine.log(f"member {self.entry.name}: {error}; connection closed")
+        finally:
+            self._lost(link)
+
+    def _lost(self, link: Link) -> None:
+        self.links.remove(link)
+        lost = [(attempt, link.whole(rid)) for rid, attempt in link.open.items()]
+        link.open.clear()
+        link.channel.close()
+        for attempt, whole in lost:
+            # Only a request that had not gone out whole is proven not to have run.
+            status = Status.RESET if whole else Status.CONNECT_FAILED
+            self.pool.engine.finished(attempt, Result(status))
+        self.pump()
+
+    def close_idle(self, before_us: int) -> None:
+        for link in self.links:
+            if not link.open and link.used_us <= before_us:
+                link.suspect = True     # nothing new on it while it closes
+                link.channel.shut()
+
+    def retire(self) -> None:
+        """The member has gone or moved: its connections end with what is out on them."""
+        self.retired = True
+        for link in list(self.links):
+            self.tidy(link)
+
+
+class Pool:
+    """The engine's backend on sockets."""
+
+    def __init__(self, engine: Engine, counters: Counters, nursery: trio.Nursery, max_streams: int,
+                 idle_close_us: int):
+        self.engine, self.counters, self.nursery = engine, counters, nursery
+        self.max_streams = max(1, max_streams)
+        self.idle_us = int(IDLE_SHARE * idle_close_us)
+        self.connect_timeout_us = engine.settings.connect_timeout_us
+        self.report_fields = engine.settings.report_fields
+        self.members: dict[int, Upstream] = {}
+
+    def send(self, attempt: Attempt, entry: Entry) -> None:
+        upstream = self.members.get(attempt.server)
+        if upstream is None:
+            upstream = self.members[attempt.server] = Upstream(self, entry)
+        upstream.send(attempt)
+
+    def undo(self, attempt: Attempt) -> Status:
+        link = attempt.link
+        if link is None or link.open.get(attempt.request.rid) is not attempt:
+            return Status.CONNECT_FAILED        # never written: it waits for a connection, or has none
+        return link.upstream.undo(link, attempt)
+
+    def forget(self, server: int) -> None:
+        upstream = self.members.pop(server, None)
+        if upstream is not None:
+            upstream.retire()
+
+    def close_idle(self, server: int) -> None:
+        if server in self.members:
+            self.members[server].close_idle(self.engine.clock.now())
+
+    async def close_idle_links(self) -> None:
+        while True:
+            await trio.sleep(1)
+            before = self.engine.clock.now() - self.idle_us
+            for upstream in list(self.members.values()):
+                upstream.close_idle(before)
+
+
+async def open_socket(address: tuple[str, int]) -> socket.socket:
+    """A connected non-blocking socket; an OSError says that the connect failed."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = prepare(socket.socket(family, socket.SOCK_STREAM))
+    try:
+        try:
+            sock.connect(address)
+        except BlockingIOError:
+            await trio.lowlevel.wait_writable(sock)
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                raise OSError(error, "connect failed") from None
+        return sock
+    except BaseException:
+        sock.close()
+        raise
--- /dev/null
+++ b/rookbend/net/watch.py
@@ -0,0 +1,71 @@
+"""The driver of the coordinator's stream: stays connected, and tells the engine what it reads."""
+
+from __future__ import annotations
+
+import trio
+
+from rookbend.core.engine import Engine
+from rookbend.core.model import Purge
+from rookbend.protocol.events import EventStream, Known, StreamEnd, StreamError, Translator, Update
+
+PATH = "/v2/stream"
+SILENCE_US = 3_000_000      # a comment comes each second: a stream silent for this long is dead
+CONNECT_US = 1_000_000
+PAUSE_S = 0.1               # between two calls; doubles up to
+PAUSE_MOST_S = 1.0
+
+
+class Watch:
+    def __init__(self, engine: Engine, translator: Translator, address: tuple[str, int]):
+        self.engine, self.translator, self.address = engine, translator, address
+        self.last_index = 0
+
+    def take_known(self, known: Known) -> None:
+        for update in known.updates:
+            self._take(update)
+        self.last_index = max(self.last_index, known.index)
+
+    def _take(self, update: Update) -> None:
+        if update.index and update.index <= self.last_index:
+            return      # told before: the stream began again a little early
+        self.last_index = max(self.last_index, update.index)
+        self.engine.clock.anchor()
+        try:
+            event = self.translator.translate(update)
+        except StreamError as error:
+            # One event that can't be used must not cost those that follow it.
+            return self.engine.log(f"coordinator: {error}")
+        if isinstance(event, Purge):
+            self.engine.purged(event)
+        elif event is not None:
+            self.engine.roster_changed(event)
+
+    async def run(self) -> None:
+        pause = PAUSE_S
+        while True:
+            before = self.last_index
+            try:
+                await self._follow()
+            except (OSError, StreamError, trio.BrokenResourceError) as error:
+                self.engine.log(f"coordinator: {error or type(error).__name__}; calling again")
+            pause = PAUSE_S if self.last_index != before else min(2 * pause, PAUSE_MOST_S)
+            await trio.sleep(pause)
+
+    async def _follow(self) -> None:
+        clock = self.engine.clock
+        stream = None
+        with trio.move_on_at(clock.monotonic_at(clock.now() + CONNECT_US)):
+            stream = await trio.open_tcp_stream(*self.address)
+        if stream is None:
+            raise StreamError("no connection")
+        async with stream:
+            events = EventStream(f"{self.address[0]}:{self.address[1]}", PATH, self.last_index)
+            await stream.send_all(events.start())
+            with trio.CancelScope() as scope:
+                while True:
+                    scope.deadline = clock.monotonic_at(clock.now() + SILENCE_US)
+                    for event in events.feed(await stream.receive_some(65536)):
+                        if isinstance(event, StreamEnd):
+                            raise StreamError("the stream has ended")
+                        self._take(event)
+            raise StreamError("the stream is silent")
--- /dev/null
+++ b/rookbend/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Pure state machines: fed bytes, they give events and bytes. They know no socket."""
--- /dev/null
+++ b/rookbend/protocol/lines.py
@@ -0,0 +1,124 @@
+"""The caches' lines, seen from the director: `do` and `undo` out, answers in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from rookbend.core.model import Attempt, Result
+from rookbend.interface import Note, Status
+
+LONGEST_LINE = 4096
+LONGEST_BODY = 240_000
+
+STATUSES = {
+    b"ok": Status.OK, b"current": Status.OK, b"nothing": Status.MISS, b"refused": Status.FULL,
+    b"error": Status.ERROR, b"stale": Status.MOOT,
+}
+NOTES = {word: Note(i + 1) for i, word in enumerate((
+    b"mem", b"parent", b"origin", b"shared", b"old",
+    b"denied", b"unreached", b"absent", b"crowded", b"behind",
+))}
+ALIASES = {"utilization": "util", "outstanding": "inflight"}
+
+
+class LineError(Exception):
+    """Bytes that are no answers of a cache: the connection can't go on."""
+
+
+@dataclass(slots=True)
+class CacheAnswer:
+    rid: str
+    result: Result
+
+
+def write_do(attempt: Attempt, now_us: int, source: str) -> bytes:
+    """The command for an attempt; `source` is the name of the member a miss is filled from, or empty."""
+    r = attempt.request
+    words = [f"c={r.class_name},k={r.key},p={r.part},w={max(1, (attempt.due_us - now_us) // 1000)}"]
+    if source:
+        words.append(f"next={source}")
+    if attempt.keep:
+        words.append(f"admit={attempt.keep}")
+    if attempt.max_age_us:
+        # An age under a millisecond must not become 0, which would mean the class's fresh time.
+        words.append(f"agelim={max(1, attempt.max_age_us // 1000)}")
+    ways = [name for name, on in (
+        ("wait-for", attempt.join), ("no-fetch", attempt.only_if_held),
+        ("no-keep", attempt.parent_keeps_none), ("background", attempt.renew)) if on]
+    if ways:
+        words.append("ways=" + "+".join(ways))
+    if r.known:
+        words.append(f"cached={r.known}")
+    return b"do %b %b %d\r\n%b\r\n" % (r.rid.encode(), ",".join(words).encode(), len(r.body), r.body)
+
+
+def write_undo(rid: str) -> bytes:
+    return b"undo %b\r\n" % rid.encode()
+
+
+class AnswerParser:
+    """Fed a cache's bytes, gives its answers. `report_fields` is the order of the load report's values."""
+
+    def __init__(self, report_fields: tuple[str, ...] = ()):
+        self._fields = tuple(ALIASES.get(name, name).encode() for name in report_fields)
+        self._held = bytearray()
+        self._head = None       # the answer whose body is awaited, and the body's length
+
+    def feed(self, data: bytes) -> list[CacheAnswer]:
+        held = self._held
+        held += data
+        at, size, answers = 0, len(held), []
+        while True:
+            if self._head is None:
+                end = held.find(b"\r\n", at)
+                if end < 0:
+                    if size - at > LONGEST_LINE:
+                        raise LineError("an answer's line is too long")
+                    break
+                self._head = self._read_line(bytes(held[at:end]))
+                at = end + 2
+            answer, length = self._head
+            if size - at < length + 2:
+                break
+            if held[at + length:at + length + 2] != b"\r\n":
+                raise LineError("an answer's body does not end where it should")
+            if length:
+                with memoryview(held) as view:
+                    answer.result.body = bytes(view[at:at + length])
+            at += length + 2
+            self._head = None
+            answers.append(answer)
+        if at:
+            del held[:at]
+        return answers
+
+    def _read_line(self, line: bytes) -> tuple[CacheAnswer, int]:
+        try:
+            rid, word, fields, size = line.split(b" ")
+            length = int(size)
+            result = Result(STATUSES[word])
+            if not 0 <= length <= LONGEST_BODY or (length and word != b"ok"):
+                raise LineError("an answer's body cannot be that long")
+            result.unchanged = word == b"current"
+            if fields != b"-":
+                for pair in fields.split(b","):
+                    name, _, value = pair.partition(b"=")
+                    if name == b"note":
+                        result.note = NOTES.get(value, Note.NONE)
+                    elif name == b"slow":
+                        result.fill_wait_us = int(float(value) * 1000)
+                    elif name == b"load":
+                        result.load = self._read_load(value)
+            return CacheAnswer(rid.decode("ascii"), result), length
+        except (ValueError, KeyError, OverflowError):
+            raise LineError(f"no answer: {line[:80]!r}") from None
+
+    def _read_load(self, value: bytes) -> tuple[float, ...]:
+        """The report in the order of the settings; cut off before the first value that is missing."""
+        named = dict(pair.split(b":", 1) for pair in value.split(b";"))
+        out = []
+        for name in self._fields:
+            if name not in named:
+                break
+            out.append(float(named[name]))
+        return tuple(out)
--- /dev/null
+++ b/rookbend/service.py
@@ -0,0 +1,162 @@
+"""The lifecycle of a director: one object, whose phases are named states."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from enum import Enum
+
+import trio
+
+from rookbend.config import Config
+from rookbend.core.clock import Clock
+from rookbend.core.counters import Counters
+from rookbend.core.engine import Engine
+from rookbend.fronts.platform import PlatformFront
+from rookbend.logic import Router
+from rookbend.net.front import FrontServer
+from rookbend.net.peers import PeerSocket
+from rookbend.net.pool import Pool
+from rookbend.net.watch import Watch
+from rookbend.protocol.events import Translator, split_address
+
+LATECOMERS_US = 700_000     # after SIGTERM new requests still arrive for this long, and are served
+SETTLED_US = 3_500_000      # and by then everything has its answer: SIGKILL may follow 0.2 s later
+TIMER_STEP_US = 1_000       # timers within one step run together
+CLIENT_SHARE = 3            # clients may hold one descriptor in so many
+UNSENT_SHARE = 4            # bytes not yet taken by clients may fill one byte of memory in so many
+
+
+class Phase(Enum):
+    STARTING = "starting"       # reading the roster, opening its sockets
+    READY = "ready"             # taking requests
+    DRAINING = "draining"       # told to stop: settling what it has taken
+    STOPPED = "stopped"         # everything settled, nothing taken any more
+
+
+class CannotListen(Exception):
+    """The address to serve on, or the peers' one, can't be had."""
+
+
+def log(text: str) -> None:
+    print(f"rookbend: {text}", file=sys.stderr, flush=True)
+
+
+class Service:
+    def __init__(self, config: Config):
+        self.config = config
+        self.phase = Phase.STARTING
+        self.counters = Counters()
+        settings = config.router_settings()
+        self.clock = Clock(trio.current_time)
+        self.engine = Engine(settings, Router(settings, int(config.seed, 16)), self.clock, self.counters, log)
+        self.watch = Watch(
+            self.engine, Translator(config.settings.zones, config.settings.kinds),
+            split_address(config.coordinator) if config.coordinator else None)
+        platform = PlatformFront(self.engine, lambda: self.phase is Phase.READY, self.is_closed)
+        limits = config.limits
+        self.front = FrontServer(
+            platform, limits.sockets // CLIENT_SHARE, (limits.memory_mb << 20) // UNSENT_SHARE, self.counters)
+        self.drain_began_us = 0
+        self.address: tuple[str, int] | None = None     # where clients connect, once it listens
+        self._stopping = trio.Event()
+        self._timer_due_earlier = trio.Event()
+
+    def is_closed(self) -> bool:
+        """Whether even the latecomers' time after SIGTERM is over."""
+        return bool(self.drain_began_us) and self.clock.now() > self.drain_began_us + LATECOMERS_US
+
+    def enter(self, phase: Phase) -> None:
+        self.phase = phase
+        log(f"{self.config.name} is {phase.value}")
+
+    def stop(self) -> None:
+        """Begins the drain. A second call changes nothing."""
+        self._stopping.set()
+
+    async def run(self, signals: AsyncIterator[int] | None = None) -> None:
+        """Serves until `stop` is called, or a signal says so, and everything taken is settled."""
+        config, engine = self.config, self.engine
+        listener, peers = self._open_sockets()
+        engine.peers = peers
+        async with trio.open_nursery() as nursery:
+            pool = Pool(engine, self.counters, nursery, config.settings.limits.max_streams,
+                        config.settings.limits.idle_close_us)
+            engine.backend = pool
+            engine.on_timer_change = lambda due: self._timer_due_earlier.set()
+            self.watch.take_known(config.known)
+            if signals is not None:
+                nursery.start_soon(self._signals, signals)
+            if peers is not None:
+                nursery.start_soon(peers.run)
+            nursery.start_soon(self._timers)
+            nursery.start_soon(pool.close_idle_links)
+            nursery.start_soon(self.front.watch_slow_readers)
+            if config.coordinator:
+                nursery.start_soon(self.watch.run)
+            accepting = trio.CancelScope()
+            nursery.start_soon(self.front.serve, listener, accepting)
+            # What is built by now stays: a collection of it would stall every request for nothing.
+            gc.freeze()
+            self.enter(Phase.READY)
+            await self._stopping.wait()
+            await self._drain(accepting)
+            nursery.cancel_scope.cancel()
+        self.enter(Phase.STOPPED)
+        log(f"counters: {self.counters.line()}")
+
+    def _open_sockets(self) -> tuple[socket.socket, PeerSocket | None]:
+        config, peers = self.config, None
+        try:
+            listener = socket.create_server(split_address(config.listen), backlog=1024)
+            if config.peer_listen:
+                peers = PeerSocket(
+                    self.engine, split_address(config.peer_listen), [split_address(p) for p in config.peers],
+                    split_address(config.peers_all) if config.peers_all else None)
+        except OSError as error:
+            where = f"{config.listen} or {config.peer_listen}"
+            raise CannotListen(f"cannot listen on {where}: {error}") from None
+        listener.setblocking(False)
+        self.address = listener.getsockname()[:2]
+        return listener, peers
+
+    async def _drain(self, accepting: trio.CancelScope) -> None:
+        self.enter(Phase.DRAINING)
+        now = self.drain_began_us = self.clock.now()
+        self.front.say_closing()
+        settled = now + SETTLED_US
+        self.engine.settle_by(settled)
+        await trio.sleep_until(self.clock.monotonic_at(now + LATECOMERS_US))
+        accepting.cancel()
+        while (self.engine.open_requests or self.front.unsent) and self.clock.now() < settled + TIMER_STEP_US:
+            await trio.sleep(0.01)
+
+    async def _signals(self, signals: AsyncIterator[int]) -> None:
+        async for number in signals:
+            if number == signal.SIGUSR1:
+                log(f"counters: {self.counters.line()}")
+            else:
+                self.stop()
+
+    async def _timers(self) -> None:
+        clock, engine = self.clock, self.engine
+        while True:
+            due = engine.run_due()
+            self._timer_due_earlier = trio.Event()
+            if due:
+                # Guards the CPU: without a least step, each timer would cost a turn of the loop.
+                await trio.sleep_until(clock.monotonic_at(clock.now() + TIMER_STEP_US))
+                with trio.move_on_at(clock.monotonic_at(due)):
+                    await self._timer_due_earlier.wait()
+            else:
+                await self._timer_due_earlier.wait()
+
+
+async def serve(config: Config) -> None:
+    """Runs a director until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
+    service = Service(config)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+        await service.run(signals)
