--- a/tests/test_dns_front.py
+++ b/tests/test_dns_front.py
@@ -77,15 +77,15 @@
         records expect do c=submit-app rid=9b1f03aa5c7e2d41
         dns send {WRITE} id=1
         dns send {WRITE} id=2
-        dns send tcp {WRITE} id=3
         records expect nothing
         records send ok note=origin body=done
         resolver expect records.example.org
         resolver send 127.0.0.31
         dns expect id=1 NOERROR records.example.org
         dns expect id=2 NOERROR records.example.org
-        dns expect tcp id=3 NOERROR records.example.org
         dns expect nothing
+        dns send tcp {WRITE} id=3
+        dns expect tcp id=3 NOERROR records.example.org
         director wait 5
         dns send {WRITE.upper()} id=4
         dns expect id=4 NOERROR 127.0.0.31
