Bound held frames, ignore tags that are none, answer half-closed DNS clients

Seen in a reading of the drivers: a frame of 262,144 bytes was held whole for every client, 85 MB for a third of the descriptors; a DNS client that closed its sending side lost its reply. Changed: a request over 64 KiB fails on its stream and is passed over unread (frames.py, feed); the DNS driver waits for the replies it owes.

--- a/rookbend/fronts/dns.py
+++ b/rookbend/fronts/dns.py
@@ -56,14 +56,20 @@
         self.closing = False
         self._forget_at = 0
 
-    def query(self, wire: bytes, source: tuple, respond: Respond) -> None:
-        """Takes a message; `respond` is called once, but for a repeat that joins its first try's reply."""
+    def query(self, wire: bytes, source: tuple, respond: Respond) -> bool:
+        """Takes a message; False where it gets no reply. `respond` is called once, but a repeat that is
+        sent again by its asker before the reply takes the place of the one before."""
         try:
             lookup = read_query(wire, self.zone)
         except NotAnswered:
-            return
-        if not isinstance(lookup, Lookup):
-            return respond(lookup)
+            return False
+        if isinstance(lookup, Lookup):
+            self._take(lookup, source, respond)
+        else:
+            respond(lookup)
+        return True
+
+    def _take(self, lookup: Lookup, source: tuple, respond: Respond) -> None:
         index = self.classes.get(lookup.class_name)
         if index is None:
             return respond(reply_to(lookup.query, Outcome(dns.rcode.NXDOMAIN, note="unknown class")))
--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -50,8 +50,8 @@
         index = self.classes[name]
         budget = _number(f["budget"], 3_600_000) * 1000
         known = f.get("known", "")
-        if known:
-            _hex16(known)
+        if known and not (known.isascii() and known.isalnum()):
+            known = ""      # not a bare tag: the copy is sent whole
         if len(frame.body) > (LONGEST_WRITE if self.engine.settings.classes[index].write else 0):
             raise Malformed("the body is too long")
         margin = min(DEADLINE_MARGIN_US, budget // 10)
--- a/rookbend/net/dns.py
+++ b/rookbend/net/dns.py
@@ -85,12 +85,17 @@
         nursery.start_soon(self._client, Channel(prepare(sock), nursery, self.outbox))
 
     async def _client(self, channel: Channel) -> None:
-        source, messages = ("tcp", *channel.sock.getpeername()), TcpMessages()
+        messages, owed, settled = TcpMessages(), 0, trio.Event()
 
         def respond(reply: dns.message.Message) -> None:
+            nonlocal owed
+            owed -= 1
             channel.write(frame_tcp(to_wire(reply, b"", over_udp=False)))
+            if not owed:
+                settled.set()
 
         try:
+            source = ("tcp", *channel.sock.getpeername())
             with trio.CancelScope() as idle:
                 while True:
                     idle.deadline = self.clock.monotonic_at(self.clock.now() + IDLE_US)
@@ -98,7 +103,13 @@
                     if not data:
                         break
                     for wire in messages.feed(data):
-                        self.front.query(wire, source, respond)
+                        owed += 1
+                        owed -= not self.front.query(wire, source, respond)
+                settled = trio.Event()
+                if owed and not channel.broken:     # a client may close only its sending side
+                    await settled.wait()
+        except OSError:
+            pass        # it left before its address could be read
         finally:
             self.clients -= 1
             channel.send()
--- a/rookbend/protocol/frames.py
+++ b/rookbend/protocol/frames.py
@@ -8,6 +8,7 @@
 HEAD = struct.Struct(">IBI")
 ANSWER = struct.Struct(">IBIB")
 LEAST, MOST = 5, 262_144        # what a frame's length may be
+HELD_MOST = 65_536              # no request of a client is longer: a longer frame is passed over unread
 
 REQUEST, ANSWERED, CANCEL, READY_ASKED, READY, CLOSING = 7, 8, 9, 1, 2, 3
 SERVED, REFUSED, FAILED = 0, 14, 2
@@ -57,29 +58,35 @@
 
 
 class FrameParser:
-    """Fed a client's bytes, gives its frames. Holds one incomplete frame at most."""
+    """Fed a client's bytes, gives its frames. Holds one incomplete frame of HELD_MOST bytes at most."""
 
     def __init__(self):
         self._held = b""
-
-    @property
-    def held(self) -> int:
-        return len(self._held)
+        self._pass_over = 0     # bytes of a frame too long to hold that are still to come
 
     def feed(self, data: bytes) -> list[RequestFrame | CancelFrame | ReadyFrame]:
         """The frames that are complete. On a FrameError, `events` of it are still good."""
         if self._held:
             data = self._held + data
-        at, size, events = 0, len(data), []
+        size, events = len(data), []
+        at = min(self._pass_over, size)
+        self._pass_over -= at
         while size - at >= 4:
             length = int.from_bytes(data[at:at + 4], "big")
             if not LEAST <= length <= MOST:
                 raise self._error(events, f"a frame cannot be {length} bytes long")
             end = at + 4 + length
             if end > size:
+                if length > HELD_MOST and size - at >= HEAD.size:
+                    # Guards the memory: the stream is told of its failure, the rest is never held.
+                    events.append(self._too_long(data, at, events))
+                    self._pass_over = end - size
+                    at = size
                 break
             _, kind, stream = HEAD.unpack_from(data, at)
-            if kind == REQUEST and stream:
+            if kind == REQUEST and stream and length > HELD_MOST:
+                events.append(RequestFrame(stream, None))
+            elif kind == REQUEST and stream:
                 fields, body = read_fields(data[at + 9:end], 0)
                 rest = data[at + 9 + body:end] if fields is not None else b""
                 events.append(RequestFrame(stream, fields, rest))
@@ -93,6 +100,12 @@
         self._held = data[at:] if at else data
         return events
 
+    def _too_long(self, data: bytes, at: int, events: list) -> RequestFrame:
+        length, kind, stream = HEAD.unpack_from(data, at)
+        if kind != REQUEST or not stream:
+            raise self._error(events, f"type {kind} on stream {stream} cannot be {length} bytes long")
+        return RequestFrame(stream, None)
+
     @staticmethod
     def _error(events: list, text: str) -> FrameError:
         error = FrameError(text)
--- a/tests/test_dns_front.py
+++ b/tests/test_dns_front.py
@@ -94,6 +94,21 @@
     assert service.counters.requests == 1
 
 
+def test_a_client_that_closes_its_sending_side_still_gets_its_reply():
+    async def check(stage):
+        await stage.play(f"dns send tcp {READ} id=6\ncache1 expect do k={OBJ}")
+        await stage.actors["dns"].streams[0].send_eof()
+        await stage.play("""
+            director wait 0.1
+            cache1 send ok note=mem body=hello
+            resolver expect cache1.example.org
+            resolver send 127.0.0.11
+            dns expect tcp id=6 NOERROR cache1.example.org
+        """)
+
+    on_stage(check)
+
+
 def test_a_submission_in_doubt_fails_and_its_repeat_gets_that_answer():
     play(LIFE_BEFORE + f"""
         dns send {WRITE} id=1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -117,6 +117,16 @@
     """)
 
 
+def test_a_request_too_long_to_hold_fails_on_its_stream_and_is_never_held():
+    play(f"""
+        client send raw 0002000007000000010000{"00" * 90_000}
+        client expect failed 1
+        client send raw {"00" * (4 + 0x20000 - 2 - 9 - 90_000)}
+        client send request 2 tour-video
+        cache1 expect do rid=0000000000000002
+    """)
+
+
 @pytest.mark.parametrize("raw", ["00000001", "7fffffff0700000001", "000000050900000000", "000000056300000001"])
 def test_bytes_that_are_no_frames_end_that_client_only(raw):
     play(f"""
