Refuse at once while the loop is far behind; count the wait off the deadline

Checked: no module fault and no reset; deadlines were counted from the reading (platform.py, read_request), not from the arrival in the kernel's buffer, and each late answer brought a retry. Changed: the lateness of the loop comes off a new request's deadline, and above 250 ms nothing is taken.

--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -58,6 +58,7 @@
         self.backend: Backend | None = None
         self.peers: Peers | None = None
         self.entries: dict[int, Entry] = {}
+        self.lag_us = 0         # how late the loop ran last: what is read now may have waited as long
         self.on_timer_change: Callable[[int], None] = lambda due: None
         self._live: dict[int, Live] = {}
         self._last_id = 0
--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -12,6 +12,7 @@
 STREAMS = 32                # open requests on one connection
 LONGEST_WRITE = 48_000
 DEADLINE_MARGIN_US = 10_000     # kept back of the budget, for the way to the client
+OVERRUN_US = 250_000        # a loop this late takes nothing new until it has caught up
 CODES = {Verdict.SERVED: frames.SERVED, Verdict.REFUSED: frames.REFUSED, Verdict.FAILED: frames.FAILED}
 UNCHANGED = frames.write_fields({"valid": "1"})
 HEX = frozenset("0123456789abcdefABCDEF")
@@ -54,7 +55,8 @@
             known = ""      # not a bare tag: the copy is sent whole
         if len(frame.body) > (LONGEST_WRITE if self.engine.settings.classes[index].write else 0):
             raise Malformed("the body is too long")
-        margin = min(DEADLINE_MARGIN_US, budget // 10)
+        # The request may have waited unread for a turn of the loop, and its client counts that too.
+        margin = min(DEADLINE_MARGIN_US + self.engine.lag_us, budget // 4)
         return Request(
             _hex16(f["rid"]), index, name, _hex16(f["obj"]), object_number(f["obj"]), now + budget - margin,
             _number(f.get("chunk", "0"), 0xFFFFFF), _number(f.get("tag", "0"), 255), f.get("again") == "1",
@@ -95,7 +97,9 @@
 
     def _request(self, frame: frames.RequestFrame) -> None:
         stream, engine = frame.stream, self.front.engine
-        if len(self.live) >= STREAMS or self.front.is_closing():
+        # Guards against a spiral: a loop that falls behind would answer everything too late, and every
+        # client would ask again. A refusal costs a tenth of a request, and does no harm.
+        if len(self.live) >= STREAMS or engine.lag_us > OVERRUN_US or self.front.is_closing():
             engine.counters.requests += 1
             engine.counters.refused += 1
             return self._write(stream, Answer(Verdict.REFUSED, backoff_us=self.front.backoff_us))
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -181,7 +181,9 @@
             self._timer_due_earlier = trio.Event()
             if due:
                 # Guards the CPU: without a least step, each timer would cost a turn of the loop.
-                await trio.sleep_until(clock.monotonic_at(clock.now() + TIMER_STEP_US))
+                wake = clock.now() + TIMER_STEP_US
+                await trio.sleep_until(clock.monotonic_at(wake))
+                engine.lag_us = max(0, clock.now() - wake)
                 with trio.move_on_at(clock.monotonic_at(due)):
                     await self._timer_due_earlier.wait()
             else:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -7,9 +7,11 @@
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
 from rookbend.core.model import Entry, Purge, Request, Result, RosterChange, Verdict
+from rookbend.fronts.platform import PlatformFront, PlatformSession
 from rookbend.interface import MemberState, Status
 from rookbend.logic import Router
 from tests import rig
+from tests.stage import frame
 
 CACHE, PARENT = rig.CACHES[0], rig.PARENTS[0]
 SECOND = 1_000_000
@@ -178,3 +180,39 @@
     now["unix"] = 1002.0
     clock.anchor()
     assert clock.now() == 1002 * SECOND
+
+
+def asked(stream, budget="2000"):
+    return frame(7, stream, {"method": "media", "rid": "a" * 16, "obj": "b" * 16, "budget": budget})
+
+
+def session(bench):
+    written = []
+    return PlatformSession(PlatformFront(bench.engine, lambda: True, lambda: False), written.append), written
+
+
+def test_a_loop_that_is_far_behind_refuses_at_once_and_takes_again_when_it_has_caught_up():
+    """Guards against the spiral seen under a profiler: once behind, every answer came too late."""
+    bench = Bench(Script([fetch()]))
+    client, written = session(bench)
+    bench.engine.lag_us = 300_000
+    client.feed(asked(1))
+    assert not bench.sent and written[0][9] == 14 and bench.engine.counters.refused == 1
+    bench.engine.lag_us = 0
+    client.feed(asked(1))
+    assert len(bench.sent) == 1 and len(written) == 1
+
+
+def test_the_wait_before_a_request_was_read_comes_off_its_deadline():
+    bench = Bench(Script([fetch()]))
+    client, _ = session(bench)
+    bench.engine.lag_us = 100_000
+    client.feed(asked(1))
+    assert bench.sent[0].due_us == bench.engine.clock.now() + 2_000_000 - 110_000
+
+
+def test_a_client_holds_32_requests_at_most():
+    bench = Bench(Script())
+    client, written = session(bench)
+    client.feed(b"".join(asked(stream) for stream in range(1, 34)))
+    assert len(written) == 1 and written[0][5:9] == (33).to_bytes(4, "big") and written[0][9] == 14
