Measure the loop's lateness on a beat of its own; ask the resolver for IPv6 too

Checked: lag_us was only measured by the timers' task (service.py, _timers), which sleeps without a limit while no request has a timer; with everything refused none ever has, so the guard kept itself shut. Changed: a task of its own measures it every 50 ms; a test plays the case.

--- a/rookbend/fronts/dns.py
+++ b/rookbend/fronts/dns.py
@@ -29,7 +29,8 @@
 
 
 class Resolver(Protocol):
-    def resolve(self, box: str, deadline_us: int, done: Callable[[list[str] | None], None]) -> None:
+    def resolve(self, box: str, kind: str, deadline_us: int,
+                done: Callable[[list[str] | None], None]) -> None:
         """Calls `done` once with the addresses of a name, or with None on any failure, by the deadline."""
 
 
@@ -145,7 +146,9 @@
         if entry is None:
             return self._settle(t, self._unnamed(t, "its box has left"))
         box = self.box_name.format(id=entry.name)
-        self.resolver.resolve(box, t.deadline, lambda found: self._resolved(t, answer.server, box, found))
+        kind = "AAAA" if ":" in entry.address[0] else "A"
+        self.resolver.resolve(
+            box, kind, t.deadline, lambda found: self._resolved(t, answer.server, box, found))
 
     def _resolved(self, t: Try, server: int, box: str, found: list[str] | None) -> None:
         entry = self.engine.entries.get(server)
--- a/rookbend/net/dns.py
+++ b/rookbend/net/dns.py
@@ -124,14 +124,16 @@
         self.address, self.clock, self.random = address, clock, random.Random(seed)
         self.nursery: trio.Nursery | None = None    # the service's, once it runs
 
-    def resolve(self, box: str, deadline_us: int, done: Callable[[list[str] | None], None]) -> None:
-        self.nursery.start_soon(self._resolve, box, deadline_us, done)
+    def resolve(self, box: str, kind: str, deadline_us: int,
+                done: Callable[[list[str] | None], None]) -> None:
+        self.nursery.start_soon(self._resolve, box, kind, deadline_us, done)
 
-    async def _resolve(self, box: str, deadline_us: int, done: Callable[[list[str] | None], None]) -> None:
+    async def _resolve(self, box: str, kind: str, deadline_us: int,
+                       done: Callable[[list[str] | None], None]) -> None:
         found = None
         with trio.move_on_at(self.clock.monotonic_at(deadline_us)):
             try:
-                question = ask_address(box, self.random.getrandbits(16))
+                question = ask_address(box, kind, self.random.getrandbits(16))
                 found = await self._ask_udp(question)
                 if found is None:
                     found = await self._ask_tcp(question)
--- a/rookbend/protocol/dns.py
+++ b/rookbend/protocol/dns.py
@@ -165,8 +165,8 @@
 # The resolver's side
 
 
-def ask_address(box: str, ident: int) -> dns.message.Message:
-    return dns.message.make_query(box, dns.rdatatype.A, id=ident)
+def ask_address(box: str, kind: str, ident: int) -> dns.message.Message:
+    return dns.message.make_query(box, kind, id=ident)
 
 
 def read_addresses(question: dns.message.Message, wire: bytes) -> list[str] | None:
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -32,6 +32,7 @@
 LATECOMERS_US = 700_000     # after SIGTERM new requests still arrive for this long, and are served
 SETTLED_US = 3_500_000      # and by then everything has its answer: SIGKILL may follow 0.2 s later
 TIMER_STEP_US = 1_000       # timers within one step run together
+LAG_BEAT_US = 50_000        # the loop's lateness is measured so often
 CLIENT_SHARE = 3            # clients may hold one descriptor in so many
 UNSENT_SHARE = 4            # bytes not yet taken by clients may fill one byte of memory in so many
 
@@ -106,6 +107,7 @@
                 nursery.start_soon(peers.run)
             nursery.start_soon(self.outbox.run)
             nursery.start_soon(self._timers)
+            nursery.start_soon(self._measure_lag)
             nursery.start_soon(pool.close_idle_links)
             nursery.start_soon(self.front.watch_slow_readers)
             if config.coordinator:
@@ -181,15 +183,22 @@
             self._timer_due_earlier = trio.Event()
             if due:
                 # Guards the CPU: without a least step, each timer would cost a turn of the loop.
-                wake = clock.now() + TIMER_STEP_US
-                await trio.sleep_until(clock.monotonic_at(wake))
-                engine.lag_us = max(0, clock.now() - wake)
+                await trio.sleep_until(clock.monotonic_at(clock.now() + TIMER_STEP_US))
                 with trio.move_on_at(clock.monotonic_at(due)):
                     await self._timer_due_earlier.wait()
             else:
                 await self._timer_due_earlier.wait()
 
 
+    async def _measure_lag(self) -> None:
+        """How late the loop runs. On a beat of its own: with no request open there is no timer to tell it,
+        and a lag that nobody measured again would have everything refused for good."""
+        while True:
+            wake = self.clock.now() + LAG_BEAT_US
+            await trio.sleep_until(self.clock.monotonic_at(wake))
+            self.engine.lag_us = max(0, self.clock.now() - wake)
+
+
 async def serve(config: Config, fronts: Fronts) -> None:
     """Runs a director until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
     service = Service(config, fronts)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -220,3 +220,18 @@
         coordinator close
         coordinator expect call Last-Event-ID=2
     """)
+
+
+def test_a_loop_that_was_late_takes_requests_again_though_none_is_open():
+    """Guards against the guard: measured only with the timers, a lag stayed when no request had any."""
+    async def check(stage):
+        stage.service.engine.lag_us = 300_000
+        await stage.play("""
+            client send request 1 tour-video
+            client expect refused 1 backoff=500
+            director wait 0.1
+            client send request 2 tour-video
+            cache1 expect do rid=0000000000000002
+        """)
+
+    on_stage(check)
