Read the configuration again on SIGHUP and move the watch to its coordinator

Checked and ruled out: the log ends at the signal without a traceback, so it is not a fault of ours but the default action of SIGHUP. At fault: service.py, `serve`, which received only SIGTERM, SIGINT and SIGUSR1; and net/watch.py, `Watch.run`, which knew one address for good.

Now SIGHUP reads the file again. The watch drops its call and calls the new coordinator at once with the last number (the old one stays open and silent for a while and is not waited for). A file that can't be used changes nothing and logs a line; what only a restart changes is named. Also: 32 MB is accepted as a memory limit (config.py refused under 64, and the deployments' limits begin at 32).

--- a/rookbend/cli.py
+++ b/rookbend/cli.py
@@ -32,7 +32,7 @@
     # Most objects die young by reference count; rare collections keep the pauses away from requests.
     gc.set_threshold(50_000, 20, 50)
     try:
-        trio.run(service.serve, config, fronts)
+        trio.run(service.serve, config, fronts, lambda: configuration.load(os.environ))
     except service.CannotListen as error:
         print(f"rookbend: {error}", file=sys.stderr)
         return 1
--- a/rookbend/config.py
+++ b/rookbend/config.py
@@ -242,5 +242,5 @@
             raise ConfigError(f"class {lane.name} has an unknown effect: {lane.effect!r}")
     if not config.settings.lanes:
         raise ConfigError("the settings name no class")
-    if config.limits.sockets < 64 or config.limits.memory_mb < 64:
+    if config.limits.sockets < 64 or config.limits.memory_mb < 32:
         raise ConfigError("the limits are too low to serve with")
--- a/rookbend/core/counters.py
+++ b/rookbend/core/counters.py
@@ -28,6 +28,7 @@
     moot: int = 0
     purges: int = 0
     roster_changes: int = 0
+    reloads: int = 0            # configurations read again
     clients: int = 0            # connections accepted
     clients_dropped: int = 0    # of these, closed for bad input or for reading too slowly
     connects: int = 0           # connections opened to members
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -16,9 +16,16 @@
 
 
 class Watch:
-    def __init__(self, engine: Engine, translator: Translator, address: tuple[str, int]):
+    def __init__(self, engine: Engine, translator: Translator, address: tuple[str, int] | None):
         self.engine, self.translator, self.address = engine, translator, address
         self.last_index = 0
+        self._call = trio.CancelScope()     # the call under way, or the pause before the next
+
+    def move(self, address: tuple[str, int] | None) -> None:
+        """Calls another coordinator, at once. Its numbers go on where those of the old one ended."""
+        self.address = address
+        # Guards the told time: the old stream stays open and silent for a while, and is not waited for.
+        self._call.cancel()
 
     def take_known(self, known: Known) -> None:
         for update in known.updates:
@@ -44,14 +51,19 @@
         pause = PAUSE_S
         while True:
             before = self.last_index
-            try:
-                await self._follow()
-            except (OSError, StreamError, trio.BrokenResourceError) as error:
-                self.engine.log(f"coordinator: {error or type(error).__name__}; calling again")
-            pause = PAUSE_S if self.last_index != before else min(2 * pause, PAUSE_MOST_S)
-            await trio.sleep(pause)
+            with trio.CancelScope() as self._call:
+                try:
+                    await self._follow()
+                except (OSError, StreamError, trio.BrokenResourceError) as error:
+                    self.engine.log(f"coordinator: {error or type(error).__name__}; calling again")
+                pause = PAUSE_S if self.last_index != before else min(2 * pause, PAUSE_MOST_S)
+                await trio.sleep(pause)
+            if self._call.cancelled_caught:
+                pause = PAUSE_S     # moved: nothing is known against the new one
 
     async def _follow(self) -> None:
+        if self.address is None:
+            await trio.sleep_forever()
         clock = self.engine.clock
         stream = None
         with trio.move_on_at(clock.monotonic_at(clock.now() + CONNECT_US)):
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -10,9 +10,10 @@
 from collections.abc import AsyncIterator, Callable
 from enum import Enum
 
+import msgspec
 import trio
 
-from rookbend.config import Config, DnsConfig, Fronts
+from rookbend.config import Config, ConfigError, DnsConfig, Fronts
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
@@ -37,6 +38,11 @@
 UNSENT_SHARE = 4            # bytes not yet taken by clients may fill one byte of memory in so many
 
 
+SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1
+# What a reload does not change: it is built into what runs, or of this start alone (`known`, `seed`).
+AT_START = "name", "listen", "settings", "limits", "peer_listen", "peers", "peers_all"
+
+
 class Phase(Enum):
     STARTING = "starting"       # reading the roster, opening its sockets
     READY = "ready"             # taking requests
@@ -48,14 +54,19 @@
     """The address to serve on, or the peers' one, can't be had."""
 
 
+def coordinator_address(config: Config) -> tuple[str, int] | None:
+    return split_address(config.coordinator) if config.coordinator else None
+
+
 def log(text: str) -> None:
     print(f"rookbend: {text}", file=sys.stderr, flush=True)
 
 
 class Service:
     def __init__(self, config: Config, fronts: Fronts | None = None,
-                 unix: Callable[[], float] = time.time):
+                 unix: Callable[[], float] = time.time, read_config: Callable[[], Config] | None = None):
         self.config, self.fronts = config, fronts or Fronts()
+        self.read_config = read_config or (lambda: config)
         self.phase = Phase.STARTING
         self.counters = Counters()
         self.outbox = Outbox()
@@ -64,7 +75,7 @@
         self.engine = Engine(settings, Router(settings, int(config.seed, 16)), self.clock, self.counters, log)
         self.watch = Watch(
             self.engine, Translator(config.settings.zones, config.settings.kinds),
-            split_address(config.coordinator) if config.coordinator else None)
+            coordinator_address(config))
         platform = PlatformFront(self.engine, lambda: self.phase is Phase.READY, self.is_closed)
         limits = config.limits
         self.front = FrontServer(
@@ -90,6 +101,21 @@
         """Begins the drain. A second call changes nothing."""
         self._stopping.set()
 
+    def reload(self) -> None:
+        """Reads the configuration again and moves the watch to the coordinator it names. Everything taken
+        goes on, and so do the numbers of the events. A file that can't be used changes nothing."""
+        try:
+            new = self.read_config()
+        except ConfigError as error:
+            return log(f"configuration not taken: {error}; the old one holds")
+        old, self.config = self.config, msgspec.structs.replace(self.config, coordinator=new.coordinator)
+        self.counters.reloads += 1
+        if new.coordinator != old.coordinator:
+            self.watch.move(coordinator_address(new))
+        later = [name for name in AT_START if getattr(new, name) != getattr(old, name)]
+        log(f"configuration read again: coordinator {new.coordinator or 'none'}"
+            + (f"; only a restart changes {', '.join(later)}" if later else ""))
+
     async def run(self, signals: AsyncIterator[int] | None = None) -> None:
         """Serves until `stop` is called, or a signal says so, and everything taken is settled."""
         config, engine = self.config, self.engine
@@ -110,8 +136,7 @@
             nursery.start_soon(self._measure_lag)
             nursery.start_soon(pool.close_idle_links)
             nursery.start_soon(self.front.watch_slow_readers)
-            if config.coordinator:
-                nursery.start_soon(self.watch.run)
+            nursery.start_soon(self.watch.run)
             accepting = trio.CancelScope()
             nursery.start_soon(self.front.serve, listener, accepting)
             if self.dns is not None:
@@ -173,6 +198,8 @@
         async for number in signals:
             if number == signal.SIGUSR1:
                 log(f"counters: {self.counters.line()}")
+            elif number == signal.SIGHUP:
+                self.reload()
             else:
                 self.stop()
 
@@ -199,8 +226,9 @@
             self.engine.lag_us = max(0, self.clock.now() - wake)
 
 
-async def serve(config: Config, fronts: Fronts) -> None:
-    """Runs a director until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
-    service = Service(config, fronts)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+async def serve(config: Config, fronts: Fronts, read_config: Callable[[], Config]) -> None:
+    """Runs a director until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 prints the
+    counters."""
+    service = Service(config, fronts, read_config=read_config)
+    with trio.open_signal_receiver(*SIGNALS) as signals:
         await service.run(signals)
--- a/tests/test_dns_front.py
+++ b/tests/test_dns_front.py
@@ -45,6 +45,18 @@
     """)
 
 
+def test_a_drain_told_by_the_coordinator_of_a_reload_holds_for_names_too():
+    play(NAMED + f"""
+        director send reload coordinator2
+        coordinator2 expect call Last-Event-ID=1
+        coordinator2 send DRAINING cache1
+        director wait 0.1
+        dns send {READ} id=7
+        dns expect id=7 REFUSED unnamed
+        cache1 expect nothing
+    """)
+
+
 def test_a_box_that_drains_while_its_name_is_resolved_is_not_named():
     play(f"""
         dns send {READ}
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -29,6 +29,16 @@
     """)
 
 
+def test_a_reload_is_no_reason_to_leave_the_balancer():
+    play("""
+        director send reload coordinator2
+        health send agent
+        health expect up ready
+        health send GET /health
+        health expect 200 ready
+    """)
+
+
 @pytest.mark.parametrize("data", [b"\x00\x01\r\n\r\n", b"GET /" + b"x" * 9000])
 def test_what_is_no_http_is_refused_and_ends(data):
     http = HealthHttp()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -235,3 +235,36 @@
         """)
 
     on_stage(check)
+
+
+RELOADED = SERVE + """
+    coordinator send DRAINING cache2
+    director wait 0.1
+    director send reload coordinator2
+    coordinator2 expect call Last-Event-ID=2
+"""
+
+
+def test_a_reload_moves_the_watch_at_once_and_its_numbers_go_on():
+    """Guards the told time after SIGHUP: the old stream stays open, silent, and is not waited for."""
+    counters = play(RELOADED + """
+        coordinator2 send DRAINING cache1 index=2
+        coordinator2 send DRAINING cache1 index=3
+        director wait 0.1
+        client send request 2 tour-video
+        upper expect do rid=0000000000000002
+        cache1 expect nothing
+    """).counters
+    assert (counters.reloads, counters.roster_changes) == (1, 3)
+
+
+def test_a_reload_leaves_open_requests_and_clients_alone():
+    play("""
+        client send request 1 tour-video
+        cache1 expect do rid=0000000000000001
+        director send reload coordinator2
+        cache1 send ok note=mem body=hello
+        client expect served 1 hello
+        client send request 2 tour-video
+        cache1 expect do rid=0000000000000002
+    """)
