--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -161,9 +161,9 @@
         await stage.play("director wait 0.1")
         stage.service.engine.backend.sent = 1000
         await stage.play("""
-            client send request 1 tour-video chunk=1
+            client send request 1 tour-video chunk=1 budget=5000
             cache1 expect do rid=0000000000000001
-            client send request 2 tour-video chunk=2
+            client send request 2 tour-video chunk=2 budget=5000
             cache1 expect do rid=0000000000000002
             director wait 2.1
             client send request 3 tour-video chunk=3
