Send a given-up request to the same cache only once its old connection has ended there

Checked with a trace of how attempts ended (taken out again): 22 of 61 attempts that the module had cancelled because their source was silent went out again to the same cache within 1 ms. Ruled out: attempts to another cache (3 in all), resets by the cache itself, timeouts (their retries went elsewhere).

At fault: net/pool.py, `Upstream.send`: `undo` went out on the old connection, `do` on an idle one, and two connections have no order between them. Before, the retry had to wait for a connect, which hid it.

Now a request given up on a member waits until the old connection's end is seen from the member's side (our side is closed behind the `undo`; dropped after 0.5 s). A spoilt connection is ended the same way, so that a cache that is still sending counts as done before the request goes there again.

--- a/rookbend/net/channel.py
+++ b/rookbend/net/channel.py
@@ -111,6 +111,18 @@
                 break
         return b""
 
+    def finish(self) -> None:
+        """Sends what is fresh and closes the sending side; the reader goes on to the other side's end."""
+        self.send()
+        if self.closed or self.broken:
+            return
+        if self._backlog:
+            return self.shut()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.shut()
+
     def shut(self) -> None:
         """Breaks the connection both ways; the reader sees its end and closes it."""
         if self.closed or self.broken:
--- a/rookbend/net/pool.py
+++ b/rookbend/net/pool.py
@@ -21,6 +21,8 @@
 UNDONE_KEPT = 512           # ids given up on a connection that are not used on it again
 SPREAD_MOST = 600           # attempts a second up to which each has a connection of its own
 SHARED = 40                 # attempts on one beyond that, before another is opened
+GONE_US = 500_000           # a connection closed on our side is dropped if the other has not by then
+UNREAD = 1 << 20            # bytes passed over on it in that time
 ANSWER_US = 500_000         # an answer that has begun is whole by then, or it never will be
 
 
@@ -34,6 +36,8 @@
         self.undone: dict[str, None] = {}
         self.heard_us = self.used_us = 0
         self.suspect = False                    # silent: nothing new goes out on it
+        self.ended = False                      # closed on our side, the other side's end is awaited
+        self.reading = trio.CancelScope()
 
     def takes(self, rid: str) -> bool:
         """Whether a request may go out on it at all. An id given up here may still have an answer on its
@@ -53,17 +57,34 @@
         self.pool, self.entry = pool, entry
         self.links: list[Link] = []
         self.waiting: deque[Attempt] = deque()
+        self.held: list[Attempt] = []       # given up here before, and the member may not know it yet
         self.connecting = 0
         self.share_until_us = 0     # until then no further connection is tried
         self.retired = False
 
     def send(self, attempt: Attempt) -> None:
+        if attempt.number and self._still_out(attempt.request.rid):
+            return self.held.append(attempt)
         link = self._link_for(attempt)
         if link is not None:
             return self._write(link, attempt)
         self.waiting.append(attempt)
         self._connect_as_needed()
 
+    def _still_out(self, rid: str) -> bool:
+        """Whether the member may still be at work on an earlier attempt of this request.
+
+        Guards against a second copy: an `undo` on one connection and a `do` on the next have no order
+        between them, and the `do` came first in one case of three. The end of the old connection, seen
+        from the member's side, proves that it has read the `undo`.
+        """
+        out = False
+        for link in self.links:
+            if rid in link.undone:
+                out = link.suspect = True
+                self.tidy(link)
+        return out
+
     def _link_for(self, attempt: Attempt) -> Link | None:
         """A connection with nothing out on it, while the director is not too busy to keep one for each.
 
@@ -143,9 +164,15 @@
         return Status.TIMEOUT if whole else Status.CONNECT_FAILED
 
     def tidy(self, link: Link) -> None:
-        if (link.suspect or self.retired) and not link.open:
-            link.channel.send()     # an undo written in this turn goes out before the end
-            link.channel.shut()
+        if (link.suspect or self.retired) and not link.open and not link.ended:
+            self._end(link)
+
+    def _end(self, link: Link) -> None:
+        """Closes our side; the reader waits a while for the member's."""
+        link.suspect = link.ended = True
+        link.channel.finish()
+        clock = self.pool.engine.clock
+        link.reading.deadline = clock.monotonic_at(clock.now() + GONE_US)
 
     async def _connect(self) -> None:
         engine, sock = self.pool.engine, None
@@ -182,31 +209,45 @@
 
     async def _read(self, link: Link) -> None:
         try:
-            with trio.CancelScope() as begun:
-                await self._read_answers(link, begun)
-            if begun.cancelled_caught:
-                self._spoilt(link, "an answer stopped short")
+            with link.reading:
+                await self._read_answers(link)
+            if link.reading.cancelled_caught and not link.ended:
+                await self._spoilt(link, "an answer stopped short")
         except lines.LineError as error:
             self._take(link, error.answers)
-            self._spoilt(link, str(error))
+            if not link.ended:
+                await self._spoilt(link, str(error))
         finally:
             self._lost(link)
 
-    async def _read_answers(self, link: Link, begun: trio.CancelScope) -> None:
-        """Reads until the connection ends; `begun` ends it where an answer has begun and is not whole in
-        time. Guards against one that stops short: nothing else would come on that connection."""
+    async def _read_answers(self, link: Link) -> None:
+        """Reads until the connection ends, or until an answer has begun that is not whole in time. Guards
+        against one that stops short: nothing else would come on that connection."""
         clock = self.pool.engine.clock
         while data := await link.channel.receive():
             link.heard_us = now = clock.now()
             self._take(link, link.parser.feed(data))
+            if link.ended:
+                continue
             if not link.parser.begun:
-                begun.deadline = math.inf
-            elif begun.deadline == math.inf:
-                begun.deadline = clock.monotonic_at(now + ANSWER_US)
+                link.reading.deadline = math.inf
+            elif link.reading.deadline == math.inf:
+                link.reading.deadline = clock.monotonic_at(now + ANSWER_US)
             if self.waiting:
                 self.pump()
             self.tidy(link)
 
+    async def _spoilt(self, link: Link, why: str) -> None:
+        """Ends a connection of no further use. What is out on it may go again once the member knows: it
+        may still be sending what we take no more of."""
+        self.pool.counters.garbage += 1
+        self.pool.engine.log(f"member {self.entry.name}: {why}; connection closed")
+        link.reading, unread = trio.CancelScope(), 0
+        self._end(link)
+        with link.reading:
+            while unread < UNREAD and (data := await link.channel.receive()):
+                unread += len(data)
+
     def _take(self, link: Link, answers: list[lines.CacheAnswer]) -> None:
         for answer in answers:
             attempt = link.open.pop(answer.rid, None)
@@ -215,10 +256,6 @@
                 self.pool.engine.finished(attempt, answer.result)
             # Else a second copy, an id that is none of ours, or one that its client withdrew: passed over.
 
-    def _spoilt(self, link: Link, why: str) -> None:
-        self.pool.counters.garbage += 1
-        self.pool.engine.log(f"member {self.entry.name}: {why}; connection closed")
-
     def _lost(self, link: Link) -> None:
         self.links.remove(link)
         self.pool.connections -= 1
@@ -230,8 +267,15 @@
             # Only a request that had not gone out whole is proven not to have run.
             status = Status.RESET if whole else Status.CONNECT_FAILED
             self.pool.engine.finished(attempt, Result(status))
+        self._release()
         self.pump()
 
+    def _release(self) -> None:
+        held, self.held = self.held, []
+        for attempt in held:
+            if not attempt.over:
+                (self.held if self._still_out(attempt.request.rid) else self.waiting).append(attempt)
+
     def close_idle(self, before_us: int) -> None:
         for link in self.links:
             if not link.open and link.used_us <= before_us:
@@ -243,6 +287,9 @@
         self.retired = True
         for link in list(self.links):
             self.tidy(link)
+        self.waiting += self.held       # each finds that it may not be written, and is placed anew
+        self.held = []
+        self.pump()
 
 
 class Pool:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -138,7 +138,7 @@
         listeners = await trio.open_tcp_listeners(self.stage.ports.get(self, 0), host=self.host)
         self.stage.ports[self] = listeners[0].socket.getsockname()[1]
         self.listener = listeners[0]
-        self.last = {}
+        self.last, self.stalled = {}, set()
         self.stage.nursery.start_soon(trio.serve_listeners, self.read, listeners)
 
     async def read(self, stream):
@@ -146,7 +146,7 @@
         data = b""
         try:
             async for more in stream:
-                data += more
+                data += more if stream not in self.stalled else b""
                 while b"\r\n" in data:
                     line, rest = data.split(b"\r\n", 1)
                     verb, rid, *more = line.decode().split(" ")
@@ -160,12 +160,16 @@
                     else:
                         self.hear(verb, f"rid={rid}")
                     data = rest
+            if stream in self.stalled:
+                await trio.sleep_forever()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
     async def send(self, words):
         args = pairs(words)
         stream, rid = self.last[args.pop("rid", "-")]
+        if words[0] == "stall":     # reads no more on that connection, nor sees its end
+            return self.stalled.add(stream)
         body = args.pop("body", "")
         rid = args.pop("as", rid)
         fields = ",".join(f"{k}={v}" for k, v in args.items()) or "-"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from rookbend.core.model import Result
+from rookbend.interface import Status
 from tests.stage import OBJ, on_stage, play
 
 SERVE = """
@@ -138,6 +140,33 @@
     assert service.counters.connects == 2
 
 
+def test_a_request_given_up_goes_to_the_same_cache_only_once_that_knows():
+    """Guards against a second copy: the `do` on an idle connection overtook the `undo` on the other."""
+    async def check(stage):
+        await stage.play("""
+            client send request 1 tour-video
+            cache1 expect do rid=0000000000000001
+            client send request 2 tour-video chunk=1
+            cache1 expect do rid=0000000000000002
+            cache1 send ok note=mem body=there
+            client expect served 2
+            cache1 send stall rid=0000000000000001
+        """)
+        engine = stage.service.engine
+        (live,) = engine._live.values()
+        engine.backend.undo(live.flight)    # as the module does where the source is silent
+        engine.finished(live.flight, Result(Status.CANCELLED))
+        await stage.play("""
+            cache1 expect nothing
+            director wait 0.6
+            cache1 expect do rid=0000000000000001
+            cache1 send ok note=mem body=hello
+            client expect served 1 hello
+        """)
+
+    on_stage(check)
+
+
 def test_a_second_copy_and_an_unknown_id_are_passed_over():
     service = play("""
         client send request 1 tour-video
