Count an error against a server only once another has answered the same request

Checked with a trace of errors and ejections (taken out again): all ERRORs but two were without a note, on all caches and both parents alike, at attempts 0 to 5 of the same requests.

At fault: logic.py, `Router.blame`, where any ERROR was a failure of the server that answered it.

Now an ERROR is kept with the request. Another server's OK makes it a failure of those that erred before; three servers erring make it the request's own fault, and it fails at once (no refusal: another try would end no better). Sick servers are still left out: they err on what others answer.

--- a/rookbend/logic.py
+++ b/rookbend/logic.py
@@ -27,6 +27,7 @@
 FAILS_TO_EJECT = 3       # failures in a row
 ERROR_RATE = 0.45        # or this failure rate over about ERROR_SPAN attempts
 ERROR_SPAN = 8
+ERRORS_ITS_OWN = 3       # servers that err on a request before it, not they, is at fault
 HOLD_OFF = 3.0           # first ejection, in connect time-outs; doubles
 HOLD_OFF_MOST = 0.5      # longest ejection, share of the warm-up time
 FULL_PAUSE = 0.5         # passed over after turning one away; a write's first pause: connect time-outs
@@ -302,7 +303,7 @@
         self.arrived, self.deadline, self.stats = now, event.deadline_us, stats
         self.write = cls.write or event.is_write
         self.charged = WORK_MARGIN * stats.mean
-        self.tried, self.bad_sources = set(), set()
+        self.tried, self.bad_sources, self.erred = set(), set(), []
         self.number = self.timeouts = self.resets = 0
         self.timer = self.flight = self.mark = self.ran_at = self.ran_on = None
         self.leading = self.missed = self.sized = self.hopeless = False
@@ -681,6 +682,8 @@
                 self.set_timer(pause, r)
             else:
                 self.give_up(r)
+        elif len(r.erred) >= ERRORS_ITS_OWN:
+            self.fail(r)
         elif r.write:
             self.send_write(r)
         elif f.look and event.status is Status.MISS:
@@ -721,6 +724,9 @@
         if status in (Status.CANCELLED, Status.MOOT, Status.MISS):
             return
         if status is Status.OK:
+            for server in r.erred:      # served elsewhere: it was they who failed
+                self.health.failure(server, self.now)
+            r.erred.clear()
             self.health.success(f.server, self.now)
             if f.source is not None and note in (Note.FILLED, Note.ORIGIN_ASKED):
                 self.health.success(f.source, self.now)
@@ -734,6 +740,11 @@
             self.health.get(f.server).full_until = self.now + FULL_PAUSE * self.s.connect_timeout_us
             r.tried.add(f.server)
             return
+        if status is Status.ERROR:
+            # Guards those who answer: a client's request that nobody can use errs everywhere.
+            r.tried.add(f.server)
+            r.erred.append(f.server)
+            return
         if status is Status.RESET and not r.resets:
             r.resets = 1        # one connection broke, maybe with the answer: that cache holds it by now
         else:
@@ -758,6 +769,12 @@
             r.mark.waiters.remove(r)
         r.mark = None
 
+    def fail(self, r):
+        """The final answer where another try would end no better."""
+        self.open.pop(r.id, None)
+        self.out.append(api.Fail(r.id))
+        self.forget(r)
+
     def give_up(self, r):
         """The final answer, at once. A refusal tells the client that another try is harmless."""
         self.open.pop(r.id, None)
--- a/tests/test_robust.py
+++ b/tests/test_robust.py
@@ -243,3 +243,30 @@
         rig.feed(api.AttemptFinished(a.request.id, a.number, a.server, api.Status.OK, 10, True))
     rig.feed(api.MembersChanged(api.ListKind.FULL, 400, (*CACHES, *PARENTS, ORIGIN)))
     assert len(waiting) > 100 and len(rig.router.health.servers) < 10 and len(rig.router.cold.sent) < 10
+
+
+def test_a_request_that_errs_everywhere_costs_no_server_its_place():
+    """Guards against clients whose requests nobody can use: they had the parents passed over."""
+    rig = Rig()
+    for obj in range(1, 21):
+        request, out = rig.arrive(obj)
+        servers = []
+        while sends(out):
+            servers.append(sends(out)[0].server)
+            out = rig.finish(sends(out)[0], api.Status.ERROR, after=1000)
+        assert out == [api.Fail(request)] and len(set(servers)) == len(servers) == 3
+    assert all(rig.router.health.open(m.server, rig.now) for m in (*CACHES, *PARENTS))
+
+
+def test_a_server_that_errs_on_what_others_answer_is_passed_over():
+    rig, bad = Rig(), CACHES[0].server
+    for obj in range(1, 60):
+        out = rig.arrive(obj)[1]
+        while sends(out):
+            attempt = sends(out)[0]
+            status = api.Status.ERROR if attempt.server == bad else api.Status.OK
+            out = rig.finish(attempt, status, after=1000)
+        if not rig.router.health.open(bad, rig.now):
+            break
+    assert not rig.router.health.open(bad, rig.now)
+    assert all(rig.router.health.open(m.server, rig.now) for m in CACHES[1:])
