Let go of silent, half-made and idle clients, and make room for those who come to ask

Nothing closed a client that says nothing, stops in mid-frame or never leaves; `_take` turned the newcomer away. `_client` left its loop on a closed sending side with `channel.queued` alone: an answer written in that same turn is not queued yet, `send` takes a part of it and `close` drops the rest (a test shows it). Two open requests could share an id, which members can't tell apart.

Now: absolute bounds of 2 s (silent, half a frame) and 6 s (idle; usual clients close after 4 s), room made by the quietest client without an open request, answers go out whole behind a closed sending side, and an id in use fails.

--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -61,6 +61,7 @@
         self.lag_us = 0         # how late the loop ran last: what is read now may have waited as long
         self.on_timer_change: Callable[[int], None] = lambda due: None
         self._live: dict[int, Live] = {}
+        self._rids: set[str] = set()        # of the open requests
         self._last_id = 0
         self._timers: list[tuple] = []
         self._timer_number = 0
@@ -85,10 +86,12 @@
         self.counters.retries += request.is_retry
         if self._settle_at:
             request.deadline_us = min(request.deadline_us, self._settle_at)
-        if request.deadline_us <= now:
+        if request.deadline_us <= now or request.rid in self._rids:
+            # An id in use names another request: members could not tell the two apart.
             self.counters.failed += 1
             reply(Answer(Verdict.FAILED))
             return None
+        self._rids.add(request.rid)
         ident = self._last_id = self._last_id % 0xFFFFFFFF + 1
         cls = self.settings.classes[request.traffic_class]
         live = self._live[ident] = Live(ident, request, reply, cls.write or cls.effect is not Effect.SAFE)
@@ -103,6 +106,7 @@
         """The client has gone: nobody waits for an answer, and none is given."""
         if live is None or self._live.pop(live.id, None) is None:
             return
+        self._rids.discard(live.request.rid)
         self.counters.cancelled += 1
         self._post(api.RequestCancelled(live.id))
         self._call_off(live)
@@ -294,6 +298,7 @@
 
     def _answer(self, live: Live, answer: Answer) -> None:
         del self._live[live.id]
+        self._rids.discard(live.request.rid)
         name = answer.verdict.value
         setattr(self.counters, name, getattr(self.counters, name) + 1)
         live.reply(answer)
--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -12,6 +12,9 @@
 STREAMS = 32                # open requests on one connection
 LONGEST_WRITE = 48_000
 DEADLINE_MARGIN_US = 10_000     # kept back of the budget, for the way to the client
+SILENT_US = 2_000_000       # a client that has asked nothing by then is let go
+FRAME_US = 2_000_000        # and one whose frame, once begun, is not whole
+IDLE_US = 6_000_000         # or that has had nothing open for so long: usual clients close after 4 s
 OVERRUN_US = 250_000        # a loop this late takes nothing new until it has caught up
 CODES = {Verdict.SERVED: frames.SERVED, Verdict.REFUSED: frames.REFUSED, Verdict.FAILED: frames.FAILED}
 UNCHANGED = frames.write_fields({"valid": "1"})
@@ -70,14 +73,32 @@
         self.front, self.write = front, write
         self.parser = frames.FrameParser()
         self.live: dict[int, Live | None] = {}
+        self.asked = False          # whether a whole frame has come
+        self.begun_us = 0           # when the frame that is not whole began, or 0
+        self.quiet_us = front.engine.clock.now()    # when it was last heard or answered
+
+    @property
+    def due_us(self) -> int | None:
+        """When the connection is let go if nothing more happens. Guards the descriptors and the memory
+        against clients that say nothing, stop in mid-frame or never leave."""
+        if self.begun_us:
+            return self.begun_us + FRAME_US
+        if self.live:
+            return None
+        return self.quiet_us + (IDLE_US if self.asked else SILENT_US)
 
     def feed(self, data: bytes) -> bool:
         """Takes what came; False when the connection can't go on."""
         broken = False
+        self.quiet_us = now = self.front.engine.clock.now()
         try:
             events = self.parser.feed(data)
         except frames.FrameError as error:
             events, broken = error.events, True
+        if events:
+            self.asked, self.begun_us = True, 0
+        if self.parser.begun:
+            self.begun_us = self.begun_us or now
         for event in events:
             kind = type(event)
             if kind is frames.RequestFrame:
@@ -91,10 +112,14 @@
                 code = frames.SERVED if self.front.is_ready() else frames.NOT_READY
                 self.write(frames.write_answer(event.stream, code, kind=frames.READY))
         if broken:
-            self.front.engine.counters.malformed += 1
-            self.write(frames.write_answer(0, frames.FAILED))
+            self.reject()
         return not broken
 
+    def reject(self) -> None:
+        """Tells of an error that belongs to no request; the connection ends behind it."""
+        self.front.engine.counters.malformed += 1
+        self.write(frames.write_answer(0, frames.FAILED))
+
     def _request(self, frame: frames.RequestFrame) -> None:
         stream, engine = frame.stream, self.front.engine
         # Guards against a spiral: a loop that falls behind would answer everything too late, and every
@@ -115,6 +140,7 @@
 
     def _answer(self, stream: int, answer: Answer) -> None:
         del self.live[stream]
+        self.quiet_us = self.front.engine.clock.now()
         self._write(stream, answer)
 
     def _write(self, stream: int, answer: Answer) -> None:
--- a/rookbend/net/channel.py
+++ b/rookbend/net/channel.py
@@ -48,6 +48,11 @@
         self.closed = self.broken = False
         self.on_drained = None      # called when a backlog has gone out, or never will
 
+    @property
+    def unsent(self) -> int:
+        """Bytes taken that the socket has not; none once the connection is at its end."""
+        return 0 if self.closed or self.broken else self.accepted - self.written
+
     def write(self, data: bytes) -> None:
         """Takes the bytes whole; an error shows at the next read."""
         if self.closed or self.broken:
--- a/rookbend/net/front.py
+++ b/rookbend/net/front.py
@@ -12,6 +12,8 @@
 from rookbend.net.channel import Channel, Outbox, prepare
 
 PAUSE_ABOVE = 1 << 20       # unsent bytes on a connection above which no more requests are read from it
+WATCH_S = 0.25
+UNSENT_STEP_S = 0.01
 STALLED_S = 6.0             # a reader that takes nothing for this long is dropped
 
 
@@ -32,12 +34,31 @@
 
     def _take(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         self.counters.clients += 1
-        if len(self.open) >= self.most_clients:
+        if len(self.open) >= self.most_clients and not self._make_room():
             self.counters.clients_dropped += 1
             return sock.close()
-        nursery.start_soon(self._client, Channel(prepare(sock), nursery, self.outbox))
-
-    async def _client(self, channel: Channel) -> None:
+        channel = Channel(prepare(sock), nursery, self.outbox)
+        session = self.open[channel] = PlatformSession(self.front, channel.write)
+        nursery.start_soon(self._client, channel, session)
+
+    def _make_room(self) -> bool:
+        """Lets go the client that matters least: one that has asked nothing yet, else one with nothing open;
+        of these the one quiet for longest. Guards the usual clients against hundreds that only connect."""
+        idle = [(session.asked, session.quiet_us, i, channel)
+                for i, (channel, session) in enumerate(self.open.items())
+                if not session.live and not channel.unsent]
+        if not idle:
+            return False
+        self._let_go(min(idle)[3])
+        return True
+
+    def _let_go(self, channel: Channel) -> None:
+        self.counters.clients_dropped += 1
+        del self.open[channel]
+        channel.send()
+        channel.close()
+
+    async def _client(self, channel: Channel, session: PlatformSession) -> None:
         drained = trio.Event()
 
         def on_drained():
@@ -46,8 +67,6 @@
             drained = trio.Event()
 
         channel.on_drained = on_drained
-        session = PlatformSession(self.front, channel.write)
-        self.open[channel] = session
         try:
             if self.closing:
                 session.say_closing()
@@ -57,25 +76,33 @@
                     return
                 if channel.queued > PAUSE_ABOVE:
                     await drained.wait()
-            # A client may close only its sending side: what it asked for is still answered.
-            while (session.live or channel.queued) and not channel.broken:
-                if channel.queued:
-                    await drained.wait()
-                else:
-                    await trio.sleep(0.01)
+            # A client may close only its sending side: what it asked for is still answered, and goes out
+            # whole. Guards against an answer of this very turn, of which the socket takes only a part.
+            while session.live or channel.unsent:
+                if channel.closed or channel.broken:
+                    break
+                await trio.sleep(UNSENT_STEP_S)
         finally:
             session.gone()
-            del self.open[channel]
+            self.open.pop(channel, None)
+            channel.on_drained = None
             channel.send()
             channel.close()
 
-    async def watch_slow_readers(self) -> None:
-        """Drops readers that take nothing, and the fullest while all together hold too much."""
+    async def watch_clients(self) -> None:
+        """Lets go those whose time is up, drops readers that take nothing, and the fullest while all together
+        hold too much."""
+        clock = self.front.engine.clock
         while True:
-            await trio.sleep(0.25)
+            await trio.sleep(WATCH_S)
+            now, stale = clock.now(), trio.current_time() - STALLED_S
+            for channel, session in list(self.open.items()):
+                if not channel.unsent and (due := session.due_us) is not None and due <= now:
+                    if session.begun_us:
+                        session.reject()
+                    self._let_go(channel)
             full = sorted((c for c in self.open if c.queued), key=lambda c: c.queued)
             unsent = sum(c.queued for c in full)
-            stale = trio.current_time() - STALLED_S
             for channel in reversed(full):
                 if channel.progress_at < stale or unsent > self.most_unsent:
                     unsent -= channel.queued
@@ -89,4 +116,4 @@
 
     @property
     def unsent(self) -> int:
-        return sum(c.queued for c in self.open)
+        return sum(c.unsent for c in self.open)
--- a/rookbend/protocol/frames.py
+++ b/rookbend/protocol/frames.py
@@ -64,6 +64,11 @@
         self._held = b""
         self._pass_over = 0     # bytes of a frame too long to hold that are still to come
 
+    @property
+    def begun(self) -> bool:
+        """Whether a frame has begun that is not complete."""
+        return bool(self._held) or self._pass_over > 0
+
     def feed(self, data: bytes) -> list[RequestFrame | CancelFrame | ReadyFrame]:
         """The frames that are complete. On a FrameError, `events` of it are still good."""
         if self._held:
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -139,7 +139,7 @@
             nursery.start_soon(self._timers)
             nursery.start_soon(self._measure_lag)
             nursery.start_soon(pool.close_idle_links)
-            nursery.start_soon(self.front.watch_slow_readers)
+            nursery.start_soon(self.front.watch_clients)
             nursery.start_soon(self.watch.run)
             accepting = trio.CancelScope()
             nursery.start_soon(self.front.serve, listener, accepting)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -52,10 +52,10 @@
     def forget(self, server):
         pass
 
-    def ask(self, cls=0, seconds=2.0, obj=5):
+    def ask(self, cls=0, seconds=2.0, obj=5, rid=None):
         now = self.engine.clock.now()
         return self.engine.submit(
-            Request("a" * 16, cls, "c", "k", obj, now + int(seconds * SECOND)), self.answers.append)
+            Request(rid or f"{self.engine._last_id:016x}", cls, "c", "k", obj, now + int(seconds * SECOND)), self.answers.append)
 
     def run_until(self, seconds):
         while self.engine._armed and self.engine._armed <= seconds * SECOND:
@@ -80,6 +80,19 @@
     assert bench.verdicts() == [Verdict.FAILED] and bench.engine.counters.late_guard == 1
 
 
+def test_an_id_in_use_is_no_other_requests_and_is_free_again_after_its_answer():
+    """Guards the member, which knows requests by their ids alone."""
+    bench = Bench(Script([fetch()], [], [fetch(2)]))
+    bench.ask(rid="a" * 16)
+    bench.ask(rid="a" * 16, obj=6)
+    assert bench.verdicts() == [Verdict.FAILED] and len(bench.sent) == 1
+    bench.engine.finished(bench.sent[0], Result(Status.OK, body=b"x"))
+    bench.ask(rid="a" * 16)
+    assert len(bench.sent) == 2 and bench.verdicts()[1:] == [Verdict.SERVED]
+    bench.engine.cancel(next(iter(bench.engine._live.values())))
+    assert not bench.engine._rids
+
+
 def test_one_attempt_at_a_time_and_six_at_most():
     bench = Bench(Script([fetch(), fetch()]))
     bench.ask()
@@ -183,7 +196,7 @@
 
 
 def asked(stream, budget="2000"):
-    return frame(7, stream, {"method": "media", "rid": "a" * 16, "obj": "b" * 16, "budget": budget})
+    return frame(7, stream, {"method": "media", "rid": f"{stream:016x}", "obj": "b" * 16, "budget": budget})
 
 
 def session(bench):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,9 +1,14 @@
 """The platform's port on loopback: requests, errors of clients and caches, drains, purges, the exit."""
 
+import socket
+
 import pytest
+import trio
 
 from rookbend.core.model import Result
+from rookbend.fronts.platform import PlatformSession
 from rookbend.interface import Status
+from rookbend.net.channel import Channel
 from tests.stage import OBJ, on_stage, play
 
 SERVE = """
@@ -252,6 +257,86 @@
     """)
 
 
+@pytest.mark.parametrize("sent, heard, least, most", [
+    ("", "closed", 2, 3),                                       # silent
+    ("client send raw 0000", "failed 0", 2, 3),                 # half a frame, once and with an answer before it
+    ("client send raw 000000100700000001", "failed 0", 2, 3),
+    ("client send ready? 9\nclient expect ready\nclient send raw 00", "failed 0", 2, 3),
+    ("client send ready? 9\nclient expect ready", "closed", 6, 7),      # idle
+])
+def test_a_client_that_asks_nothing_stops_in_mid_frame_or_never_leaves_is_let_go(sent, heard, least, most):
+    """Guards the descriptors: such connections came by hundreds and stayed."""
+    async def check(stage):
+        await stage.actors["client"].open()
+        began = trio.current_time()
+        await stage.play(f"{sent}\nclient expect {heard}")
+        assert least <= trio.current_time() - began < most
+        if heard != "closed":
+            await stage.play("client expect closed")
+        return stage.service.front
+
+    assert not on_stage(check).open
+
+
+def test_a_client_with_an_open_request_is_not_let_go():
+    play("""
+        client send request 1 tour-video budget=20000
+        cache1 expect do rid=0000000000000001
+        director wait 4
+        cache1 send ok note=mem body=hello
+        client expect served 1 hello
+        director wait 5
+        client send ready? 9
+        client expect ready
+    """)
+
+
+def test_a_full_house_makes_room_for_who_comes_to_ask():
+    """Guards the usual clients: hundreds that only connected had the newcomers turned away."""
+    async def check(stage):
+        stage.service.front.most_clients = 3
+        await stage.play("other send request 1 tour-video chunk=1\ncache1 expect do rid=0000000000000001")
+        for _ in range(5):
+            await stage.actors["client"].open()
+        await stage.play("""
+            client expect closed
+            client expect closed
+            client expect closed
+            client send request 2 tour-video
+            cache1 expect do rid=0000000000000002
+            cache1 send ok note=mem body=hello
+            client expect served 2 hello
+            cache1 send ok rid=0000000000000001 note=mem body=there
+            other expect served 1 there
+        """)
+
+    on_stage(check)
+
+
+def test_an_answer_of_the_turn_in_which_a_client_closed_its_sending_side_goes_out_whole():
+    async def check(stage):
+        ours, theirs = socket.socketpair()
+        front, size = stage.service.front, 4 << 20
+        channel = Channel(prepare_pair(ours), stage.nursery, stage.service.outbox)
+        session = PlatformSession(front.front, channel.write)
+        ends = iter([b"x", b""])
+
+        async def receive():
+            return next(ends)       # with no turn of the loop between the two
+
+        channel.receive, session.feed = receive, lambda data: channel.write(bytes(size)) or True
+        front.open[channel] = session
+        stage.nursery.start_soon(front._client, channel, session)
+        async with trio.SocketStream(trio.socket.from_stdlib_socket(theirs)) as stream:
+            assert sum([len(data) async for data in stream]) == size
+
+    def prepare_pair(sock):
+        sock.setblocking(False)
+        return sock
+
+    on_stage(check)
+
+
 def test_a_stream_in_use_cannot_be_used_again():
     play("""
         client send request 1 tour-video
