Read load reports under the names that answers use

Checked with a trace of the module's beliefs each second (taken out again): no member ever had a report. A trace of raw lines: answers carry `load=utilization:0.5;outstanding:10.3;x1:0`, the settings' names. Ruled out: the reload itself (all three watches moved within a second) and the deaths at the restart (n1 refused before).

At fault: protocol/lines.py, `AnswerParser`: it turned the settings' names into `util` and `inflight` and then looked for these in the answer, so each report was cut off before its first figure. Its test used the short names only.

--- a/rookbend/protocol/lines.py
+++ b/rookbend/protocol/lines.py
@@ -18,7 +18,7 @@
     b"mem", b"parent", b"origin", b"shared", b"old",
     b"denied", b"unreached", b"absent", b"crowded", b"behind",
 ))}
-ALIASES = {"utilization": "util", "outstanding": "inflight"}
+ALIASES = {b"utilization": b"util", b"outstanding": b"inflight"}
 
 
 class LineError(Exception):
@@ -62,7 +62,8 @@
     """Fed a cache's bytes, gives its answers. `report_fields` is the order of the load report's values."""
 
     def __init__(self, report_fields: tuple[str, ...] = ()):
-        self._fields = tuple(ALIASES.get(name, name).encode() for name in report_fields)
+        names = (name.encode() for name in report_fields)
+        self._fields = tuple(ALIASES.get(name, name) for name in names)
         self._held = bytearray()
         self._head = None       # the answer whose body is awaited, and the body's length
 
@@ -131,7 +132,12 @@
 
     def _read_load(self, value: bytes) -> tuple[float, ...]:
         """The report in the order of the settings; cut off before the first value that is missing."""
-        named = dict(pair.split(b":", 1) for pair in value.split(b";"))
+        named = {}
+        for pair in value.split(b";"):
+            name, figure = pair.split(b":", 1)
+            # Guards against two names for one figure: the settings' own and the short one. Unknown to each
+            # other, they had every report of every member thrown away.
+            named[ALIASES.get(name, name)] = figure
         out = []
         for name in self._fields:
             if name not in named:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -57,6 +57,14 @@
     assert (fourth.status, fourth.note, fourth.load) == (Status.FULL, Note.NO_FILL_PLACE, (0.5,))
 
 
+@pytest.mark.parametrize("asked", [("util", "inflight", "x1"), ("utilization", "outstanding", "x1")])
+@pytest.mark.parametrize("told", [b"util:0.5;inflight:7;x1:0", b"x1:0;utilization:0.500;outstanding:7.000"])
+def test_a_load_report_is_read_under_either_name_of_its_figures(asked, told):
+    """Guards the module's belief about load: under the other names, no report ever reached it."""
+    (answer,) = lines.AnswerParser(asked).feed(b"a1 ok load=%b 0\r\n\r\n" % told)
+    assert answer.result.load == (0.5, 7.0, 0.0)
+
+
 @pytest.mark.parametrize("data", [
     b"x\r\n", b"a1 what - 0\r\n", b"a1 ok - -1\r\n", b"a1 ok - 999999\r\n", b"a1 nothing - 3\r\nabc\r\n",
     b"a1 ok - 2\r\nabc\r\n", b"a" * 5000, b"a1 ok load=util:x 0\r\n\r\n", b"\xff ok - 0\r\n\r\n",
