Count a write given up before it left the buffer as one that may have run

Checked: net/pool.py, `undo`, tells CONNECT_FAILED where the socket has not taken the whole `do` yet, but the buffer goes out all the same, ahead of the `undo`; with a full core a write's time-out falls into that gap. A test shows the member hearing both. Ruled out: `_lost` (its connection closes, the rest never goes out).

--- a/rookbend/net/pool.py
+++ b/rookbend/net/pool.py
@@ -147,7 +147,6 @@
 
     def undo(self, link: Link, attempt: Attempt) -> Status:
         rid, now = attempt.request.rid, self.pool.engine.clock.now()
-        whole = link.whole(rid)
         del link.open[rid], link.ends[rid]
         link.undone[rid] = None
         if len(link.undone) > UNDONE_KEPT:
@@ -161,7 +160,9 @@
             # its time leaves one of no further use: what comes next takes another.
             link.suspect = True
         self.tidy(link)
-        return Status.TIMEOUT if whole else Status.CONNECT_FAILED
+        # Guards a write: what the socket has not taken yet still goes out, before the `undo`. Taken for
+        # proof that it never ran, it was sent again elsewhere.
+        return Status.TIMEOUT
 
     def tidy(self, link: Link) -> None:
         if (link.suspect or self.retired) and not link.open and not link.ended:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from rookbend.core.model import Result
+from rookbend.core.model import Request, Result
 from rookbend.fronts.platform import PlatformSession
 from rookbend.interface import Status
 from rookbend.net.channel import Channel
@@ -49,6 +49,24 @@
     """)
 
 
+def test_a_write_given_up_before_it_left_the_buffer_may_have_run():
+    """Guards against a second run: its bytes go out all the same, ahead of the `undo`."""
+    async def check(stage):
+        await stage.play("""
+            client send request 1 submit-app body=form
+            records expect do rid=0000000000000001
+            records send ok note=mem body=done
+            client expect served 1
+        """)
+        engine = stage.service.engine
+        now = engine.clock.now()
+        live = engine.submit(Request("f" * 16, 1, "submit-app", OBJ, int(OBJ, 16), now + 3_000_000), print)
+        assert engine.backend.undo(live.flight) is Status.TIMEOUT
+        await stage.play("records expect do rid=ffffffffffffffff\nrecords expect undo rid=ffffffffffffffff")
+
+    on_stage(check)
+
+
 def test_a_write_that_was_reset_whole_fails_and_is_not_repeated():
     service = play("""
         client send request 1 submit-app body=form
