Copy answers less, read a load report once, and keep hash orders' parts at hand

Checked with a light sampler (taken out again): reports 2.4%, the clock 4.8%, orders 3.9%, bodies copied three times on their way (parser, frame, join).

At fault: protocol/lines.py `_feed` (held every byte first) and `_read_load` (the same text read anew for each answer); protocol/frames.py `write_answer` and net/channel.py `send` (a copy each); core/clock.py by way of trio.current_time; logic.py `Membership.rank` (two mixes and a weight for each member and object).

--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -149,7 +149,9 @@
             fields = UNCHANGED
         elif answer.backoff_us:
             fields = frames.write_fields({"backoff": str(answer.backoff_us // 1000)})
-        self.write(frames.write_answer(stream, CODES[answer.verdict], fields, answer.body))
+        self.write(frames.write_answer(stream, CODES[answer.verdict], fields, len(answer.body)))
+        if answer.body:
+            self.write(answer.body)
 
     def say_closing(self) -> None:
         self.write(frames.write_closing())
--- a/rookbend/logic.py
+++ b/rookbend/logic.py
@@ -81,6 +81,7 @@
     def __init__(self, settings):
         self.s, self.all, self.orders = settings, {}, Bounded(settings.max_open)
         self.caches, self.parents, self.origins = [], [], []
+        self.rows = [], []      # caches, parents: each with what its place in an order rests on
 
     def apply(self, event):
         """Takes a list or a change; returns the servers that are new or restarted."""
@@ -94,6 +95,8 @@
         self.caches = [m for m in rows if m.kind not in (parent, origin) and m.zone == zone]
         self.parents = [m for m in rows if m.kind == parent]
         self.origins = [m for m in rows if m.kind == origin]
+        self.rows = tuple(
+            [(mix(m.server), self.weight(m), m) for m in role] for role in (self.caches, self.parents))
         self.orders.clear()
         return [k for k, m in new.items() if k not in old or m.started_us > old[k].started_us]
 
@@ -110,14 +113,13 @@
         Parts are kept each by itself and spread over the caches; an object's fills meet at one parent."""
         if key not in self.orders:
             at = key[0] ^ mix(key[1])
-            self.orders.put(key, (self.rank(self.caches, at), self.rank(self.parents, key[0])))
+            self.orders.put(key, (self.rank(self.rows[0], at), self.rank(self.rows[1], key[0])))
         return self.orders[key]
 
-    def rank(self, members, object_id):
-        def score(m):
-            unit = ((mix(object_id ^ mix(m.server)) >> 11) + 0.5) / (1 << 53)
-            return -math.log(unit) / self.weight(m)
-        return sorted(members, key=score)
+    def rank(self, rows, object_id):
+        def score(row):
+            return -math.log(((mix(object_id ^ row[0]) >> 11) + 0.5) / (1 << 53)) / row[1]
+        return [row[2] for row in sorted(rows, key=score)]
 
 
 class Server:
--- a/rookbend/net/channel.py
+++ b/rookbend/net/channel.py
@@ -8,6 +8,7 @@
 import trio
 
 RECEIVE = 1 << 18
+GATHERED = 512              # parts that one call takes
 
 
 class Outbox:
@@ -67,20 +68,23 @@
         fresh, self._fresh = self._fresh, []
         if self.closed or self.broken or not fresh:
             return
-        data = fresh[0] if len(fresh) == 1 else b"".join(fresh)
-        sent = 0
+        if len(fresh) > GATHERED:
+            fresh = [b"".join(fresh)]
+        size, sent = self.accepted - self.written - self.queued, 0
         if not self._backlog:
             try:
-                sent = self.sock.send(data)
+                # All parts in one call, with none of them copied together first.
+                sent = self.sock.send(fresh[0]) if len(fresh) == 1 else self.sock.sendmsg(fresh)
             except BlockingIOError:
                 pass
             except OSError:
                 return self.shut()
             self.written += sent
-            if sent == len(data):
+            if sent == size:
                 return
             self.progress_at = trio.current_time()
             self._nursery.start_soon(self._flush)
+        data = fresh[0] if len(fresh) == 1 else b"".join(fresh)
         self._backlog.append(memoryview(data)[sent:])
         self.queued += len(data) - sent
 
--- a/rookbend/protocol/frames.py
+++ b/rookbend/protocol/frames.py
@@ -129,9 +129,10 @@
 NO_FIELDS = write_fields({})
 
 
-def write_answer(stream: int, code: int, fields: bytes = NO_FIELDS, body: bytes = b"",
+def write_answer(stream: int, code: int, fields: bytes = NO_FIELDS, body_size: int = 0,
                  kind: int = ANSWERED) -> bytes:
-    return ANSWER.pack(6 + len(fields) + len(body), kind, stream, code) + fields + body
+    """The answer up to its body, whose bytes follow as they are."""
+    return ANSWER.pack(6 + len(fields) + body_size, kind, stream, code) + fields
 
 
 def write_closing() -> bytes:
--- a/rookbend/protocol/lines.py
+++ b/rookbend/protocol/lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 from rookbend.core.model import Attempt, Result
 from rookbend.interface import Note, Status
@@ -83,31 +84,35 @@
         return answers
 
     def _feed(self, data: bytes, answers: list[CacheAnswer]) -> None:
-        held = self._held
-        held += data
-        at, size = 0, len(held)
+        # What is whole is taken from `data` itself: only a part of an answer is ever held, and copied.
+        if self._held:
+            self._held += data
+            data = self._held
+        at, size = 0, len(data)
         while True:
             if self._head is None:
-                end = held.find(b"\r\n", at)
+                end = data.find(b"\r\n", at)
                 if end < 0:
                     if size - at > LONGEST_LINE:
                         raise LineError("an answer's line is too long")
                     break
-                self._head = self._read_line(bytes(held[at:end]))
+                self._head = self._read_line(bytes(data[at:end]))
                 at = end + 2
             answer, length = self._head
             if size - at < length + 2:
                 break
-            if held[at + length:at + length + 2] != b"\r\n":
+            if data[at + length:at + length + 2] != b"\r\n":
                 raise LineError("an answer's body does not end where it should")
             if length:
-                with memoryview(held) as view:
+                with memoryview(data) as view:
                     answer.result.body = bytes(view[at:at + length])
             at += length + 2
             self._head = None
             answers.append(answer)
-        if at:
-            del held[:at]
+        if data is not self._held:
+            self._held += data[at:]
+        elif at:
+            del self._held[:at]
 
     def _read_line(self, line: bytes) -> tuple[CacheAnswer, int]:
         try:
@@ -125,22 +130,24 @@
                     elif name == b"slow":
                         result.fill_wait_us = int(float(value) * 1000)
                     elif name == b"load":
-                        result.load = self._read_load(value)
+                        result.load = read_load(value, self._fields)
             return CacheAnswer(rid.decode("ascii"), result), length
         except (ValueError, KeyError, OverflowError):
             raise LineError(f"no answer: {line[:80]!r}") from None
 
-    def _read_load(self, value: bytes) -> tuple[float, ...]:
-        """The report in the order of the settings; cut off before the first value that is missing."""
-        named = {}
-        for pair in value.split(b";"):
-            name, figure = pair.split(b":", 1)
-            # Guards against two names for one figure: the settings' own and the short one. Unknown to each
-            # other, they had every report of every member thrown away.
-            named[ALIASES.get(name, name)] = figure
-        out = []
-        for name in self._fields:
-            if name not in named:
-                break
-            out.append(float(named[name]))
-        return tuple(out)
+
+@lru_cache(maxsize=256)
+def read_load(value: bytes, fields: tuple[bytes, ...]) -> tuple[float, ...]:
+    """The report in the order of the settings; cut off before the first value that is missing. A member's
+    report stays the same for many answers."""
+    named, out = {}, []
+    for pair in value.split(b";"):
+        name, figure = pair.split(b":", 1)
+        # Guards against two names for one figure: the settings' own and the short one. Unknown to each
+        # other, they had every report of every member thrown away.
+        named[ALIASES.get(name, name)] = figure
+    for name in fields:
+        if name not in named:
+            break
+        out.append(float(named[name]))
+    return tuple(out)
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -75,7 +75,7 @@
         self.counters = Counters()
         self.outbox = Outbox()
         settings = config.router_settings()
-        self.clock = Clock(trio.current_time, unix)
+        self.clock = Clock(trio.lowlevel.current_clock().current_time, unix)
         self.engine = Engine(settings, Router(settings, int(config.seed, 16)), self.clock, self.counters, log)
         self.watch = Watch(
             self.engine, Translator(config.settings.zones, config.settings.kinds),
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -224,6 +224,17 @@
     assert bench.sent[0].due_us == bench.engine.clock.now() + 2_000_000 - 110_000
 
 
+def test_an_answers_bytes_go_to_the_client_as_they_came_without_a_copy():
+    """Guards the CPU of a busy director, which moves each body several times over otherwise."""
+    bench = Bench(Script([fetch()]))
+    client, written = session(bench)
+    client.feed(asked(1))
+    body = bytes(1000)
+    bench.engine.finished(bench.sent[0], Result(Status.OK, body=body))
+    head, rest = written
+    assert rest is body and int.from_bytes(head[:4], "big") == len(head) - 4 + len(body)
+
+
 def test_a_client_holds_32_requests_at_most():
     bench = Bench(Script())
     client, written = session(bench)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -335,7 +335,8 @@
     async def check(stage):
         ours, theirs = socket.socketpair()
         front, size = stage.service.front, 4 << 20
-        channel = Channel(prepare_pair(ours), stage.nursery, stage.service.outbox)
+        ours.setblocking(False)
+        channel = Channel(ours, stage.nursery, stage.service.outbox)
         session = PlatformSession(front.front, channel.write)
         ends = iter([b"x", b""])
 
@@ -348,9 +349,23 @@
         async with trio.SocketStream(trio.socket.from_stdlib_socket(theirs)) as stream:
             assert sum([len(data) async for data in stream]) == size
 
-    def prepare_pair(sock):
-        sock.setblocking(False)
-        return sock
+    on_stage(check)
+
+
+@pytest.mark.parametrize("count, size", [(3, 10), (2000, 1), (3, 1 << 21)])
+def test_the_parts_of_a_turn_go_out_whole_and_in_order(count, size):
+    async def check(stage):
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        channel = Channel(ours, stage.nursery, stage.service.outbox)
+        parts = [bytes([i % 256]) * size for i in range(count)]
+        for part in parts:
+            channel.write(part)
+        async with trio.SocketStream(trio.socket.from_stdlib_socket(theirs)) as stream:
+            data = b""
+            while len(data) < count * size:
+                data += await stream.receive_some(1 << 20)
+        assert data == b"".join(parts) and not channel.unsent
 
     on_stage(check)
 
