Let a write that may never run twice wait for its answer until its deadline

Checked: `WRITE_WAIT` ends a write after 0.45 of its aim (270 ms of 600 ms). `may_send` bars any repeat of a class that may never run twice, so the early end gains nothing.

At fault: logic.py, `send_write`. Keyed writes, which may be repeated, keep the early end.

--- a/rookbend/logic.py
+++ b/rookbend/logic.py
@@ -586,7 +586,9 @@
         m = source if self.s.direct else self.place(r)
         if source is None or m is None or not self.may_send(r, m):
             return self.give_up(r)
-        timeout = self.launch(r, m, source, WRITE_WAIT * r.cls.aim_us * 2 ** r.timeouts, False)
+        # What may never run twice gets no other attempt after a time-out: an early one only drops answers.
+        wait = WRITE_WAIT * r.cls.aim_us * 2 ** r.timeouts if r.cls.effect is not Effect.UNSAFE else math.inf
+        timeout = self.launch(r, m, source, wait, False)
         straight = m is source and m.kind == self.s.origin_kind
         self.out.append(api.Lookup(r.id, m.server, timeout) if straight else
                         api.Fetch(r.id, m.server, timeout, source.server, 0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -53,6 +53,13 @@
     assert finals(done) == [api.Fail(request)] and not sends(done)
 
 
+def test_unsafe_request_waits_for_its_answer_and_a_keyed_one_does_not():
+    """Guards a slow origin's answers: given up early, a write that can't be repeated failed for nothing."""
+    rig = Rig(direct=True)
+    unsafe, keyed = (sends(rig.arrive(5, cls=cls)[1])[0] for cls in (3, 2))
+    assert unsafe.timeout_us == 3 * SECOND and keyed.timeout_us < 0.7 * SECOND
+
+
 def test_unsafe_request_proven_not_run_goes_again():
     rig = Rig(direct=True)
     _, out = rig.arrive(5, cls=3)
