Share connections to members by rate, one more attempt for every 25 a second above 600

Now each 25 attempts a second beyond 600 add one to what a connection takes, and those that need a new connection get one up to 1,500 a second.

--- a/rookbend/net/pool.py
+++ b/rookbend/net/pool.py
@@ -20,7 +20,8 @@
 IDLE_SHARE = 0.8            # closed after this share of the idle time, before the other side does
 UNDONE_KEPT = 512           # ids given up on a connection that are not used on it again
 SPREAD_MOST = 600           # attempts a second up to which each has a connection of its own
-SHARED = 40                 # attempts on one beyond that, before another is opened
+SHARE_STEP = 25             # so many more make one more attempt share a connection before another is opened
+FRESH_MOST = 1500           # attempts a second up to which those that need it get a new connection
 FRESH_US = 100_000          # a connection not used yet is a new one for so long
 GONE_US = 500_000           # a connection closed on our side is dropped if the other has not by then
 UNREAD = 1 << 20            # bytes passed over on it in that time
@@ -94,14 +95,14 @@
         and all that is out on it is lost with it. Shared, each took a dozen other attempts along.
         """
         pool, rid, least = self.pool, attempt.request.rid, None
-        spread, fresh_since = pool.spreads, 0
-        if attempt.fresh and spread and self._may_connect():
+        share, fresh_since = pool.share, 0
+        if attempt.fresh and pool.rate <= FRESH_MOST and self._may_connect():
             fresh_since = pool.engine.clock.now() - FRESH_US
         for link in reversed(self.links):   # the one used last comes first; what is spare ages and closes
             if fresh_since and not (link.unused and link.used_us >= fresh_since):
                 continue
             if link.takes(rid):
-                if not link.open or (not spread and len(link.open) < pool.shared_streams):
+                if len(link.open) < share:
                     return link
                 if least is None or len(link.open) < len(least.open):
                     least = link
@@ -260,7 +261,7 @@
             attempt = link.open.pop(answer.rid, None)
             if attempt is not None:
                 del link.ends[answer.rid]
-                if not link.open and self.links[-1] is not link and self.pool.spreads:
+                if not link.open and self.links[-1] is not link and self.pool.share == 1:
                     self.links.remove(link)
                     self.links.append(link)
                 self.pool.engine.finished(attempt, answer.result)
@@ -313,15 +314,20 @@
         self.connect_timeout_us = engine.settings.connect_timeout_us
         self.report_fields = engine.settings.report_fields
         self.members: dict[int, Upstream] = {}
-        self.shared_streams = min(SHARED, self.max_streams)
         self.sent = self.sent_before = 0        # attempts of this second, and of the one before
         self.connections, self.most_connections = 0, most_connections   # under way or open, to all members
 
     @property
-    def spreads(self) -> bool:
-        """Guards the CPU: each connection is read by itself, and at thousands of attempts a second that
-        alone made a director too slow for all its requests."""
-        return self.sent <= SPREAD_MOST and self.sent_before <= SPREAD_MOST
+    def rate(self) -> int:
+        """Attempts a second."""
+        return max(self.sent, self.sent_before)
+
+    @property
+    def share(self) -> int:
+        """How many attempts a connection takes before another is opened. Guards the CPU: each connection is
+        read by itself, and at thousands of attempts a second one to each made a director too slow for all
+        its requests."""
+        return min(1 + max(0, self.rate - SPREAD_MOST) // SHARE_STEP, self.max_streams)
 
     def send(self, attempt: Attempt, entry: Entry) -> None:
         self.sent += 1
--- a/tests/test_robust.py
+++ b/tests/test_robust.py
@@ -1,10 +1,12 @@
 """Events about nothing, empty lists, and defences against failing servers."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
 from rookbend import interface as api
+from rookbend.net.pool import Pool
 from tests.rig import CACHES, MEDIA, ORIGIN, PARENTS, SECOND, Rig, finals, sends
 
 
@@ -270,3 +272,10 @@
             break
     assert not rig.router.health.open(bad, rig.now)
     assert all(rig.router.health.open(m.server, rig.now) for m in CACHES[1:])
+
+
+@pytest.mark.parametrize("rate, share", [(0, 1), (600, 1), (625, 2), (950, 15), (7000, 40)])
+def test_connections_are_shared_by_rate(rate, share):
+    """Guards the CPU at thousands of attempts a second, and at a few hundred over the bound the others on a
+    connection that breaks: one step from a connection each to forty on one lost them."""
+    assert Pool.share.fget(SimpleNamespace(rate=rate, max_streams=40)) == share
