Lay the ground for balancers' health protocols: board, checks, settings, log, parts

Other installations run rookbend beside common balancers; it could only answer one agent line and GET /health, by its lifecycle alone, and each new listener took six edits of service.py.

New: rookbend/health (evidence, verdicts, tiers with a limit, slow start), background (a plan of jobs with priorities and budgets), settings (a line-based file, deploy/rookbend.conf, faults as FILE:LINE: fault), protocols for agent-check, HTTP, gRPC and PROXY v2, their drivers, an operators' listener with members, orders and metrics, a structured log on structlog, sub-commands in cli/. service.py is turned into parts. deploy/fronts.toml is gone. What is off is not imported.

--- /dev/null
+++ b/rookbend/cli/version.py
@@ -0,0 +1,26 @@
+"""`rookbend version`."""
+
+from __future__ import annotations
+
+import argparse
+from importlib import metadata
+
+from rookbend.cli import VERSION
+
+HELP = "print the versions of the program and its libraries"
+EXAMPLE = "rookbend version"
+LIBRARIES = "trio", "msgspec", "h11", "structlog", "dnspython", "h2", "protobuf", "prometheus-client", "rich"
+
+
+def add(parser: argparse.ArgumentParser) -> None:
+    pass
+
+
+def run(args: argparse.Namespace) -> int:
+    print(f"rookbend {VERSION}")
+    for name in LIBRARIES:
+        try:
+            print(f"{name} {metadata.version(name)}")
+        except metadata.PackageNotFoundError:
+            print(f"{name} not installed")
+    return 0
--- a/rookbend/config.py
+++ b/rookbend/config.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from rookbend import interface as api
+from rookbend import settings
 from rookbend.protocol.events import Known, split_address
+from rookbend.settings import Settings
 from rookbend.wire import EFFECTS, REPORT_NAMES
 
 
@@ -158,43 +160,16 @@
     )
 
 
-class DnsConfig(msgspec.Struct, forbid_unknown_fields=True):
-    listen: str = ""
-    zone: str = "route.example.org"
-    box_name: str = "{id}.example.org"
-    resolver: str = "127.0.0.1:53"
-    budget_ms: int = 3000
+SETTINGS_FILE = Path(__file__).parent.parent / "deploy" / "rookbend.conf"
 
 
-class ListenConfig(msgspec.Struct, forbid_unknown_fields=True):
-    listen: str = ""
-
-
-class Fronts(msgspec.Struct, forbid_unknown_fields=True):
-    """deploy/fronts.toml: where the fronts beside the platform's listen; empty keeps one off."""
-
-    dns: DnsConfig = msgspec.field(default_factory=DnsConfig)
-    agent_check: ListenConfig = msgspec.field(default_factory=ListenConfig)
-    health: ListenConfig = msgspec.field(default_factory=ListenConfig)
-
-
-FRONTS_FILE = Path(__file__).parent.parent / "deploy" / "fronts.toml"
-
-
-def load_fronts(environ: Mapping[str, str]) -> Fronts:
-    path = Path(environ.get("NODE_FRONTS", FRONTS_FILE))
-    if "NODE_FRONTS" not in environ and not path.exists():
-        return Fronts()
-    try:
-        fronts = msgspec.toml.decode(path.read_bytes(), type=Fronts)
-    except OSError as error:
-        raise ConfigError(f"the fronts' file can't be read: {error.strerror}") from None
-    except msgspec.MsgspecError as error:
-        raise ConfigError(f"the fronts' file is not usable: {error}") from None
-    check_addresses((
-        ("dns.listen", fronts.dns.listen), ("dns.resolver", fronts.dns.resolver),
-        ("agent_check.listen", fronts.agent_check.listen), ("health.listen", fronts.health.listen)))
-    return fronts
+def load_all(environ: Mapping[str, str]) -> tuple[Config, Settings]:
+    """The configuration, and the operators' settings as far as it permits them. Raises ConfigError or
+    Fault."""
+    config = load(environ)
+    operators = settings.load(environ, SETTINGS_FILE)
+    settings.check_permits(operators, config.settings.limits.probes)
+    return config, operators
 
 
 def load(environ: Mapping[str, str]) -> Config:
--- a/rookbend/core/counters.py
+++ b/rookbend/core/counters.py
@@ -28,6 +28,7 @@
     moot: int = 0
     purges: int = 0
     roster_changes: int = 0
+    judgements: int = 0         # members whose state or weight health has changed
     reloads: int = 0            # configurations read again
     clients: int = 0            # connections accepted
     clients_dropped: int = 0    # of these, closed for bad input or for reading too slowly
@@ -35,5 +36,5 @@
     garbage: int = 0            # connections to members closed for answers that can't be read
     peer_messages: int = 0
 
-    def line(self) -> str:
-        return " ".join(f"{name}={value}" for name, value in asdict(self).items())
+    def fields(self) -> dict[str, int]:
+        return asdict(self)
--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -52,7 +52,7 @@
 
 class Engine:
     def __init__(self, settings: api.Settings, router, clock: Clock, counters: Counters,
-                 log: Callable[[str], None]):
+                 log: Callable[..., None]):
         self.settings, self.router, self.clock = settings, router, clock
         self.counters, self.log = counters, log
         self.backend: Backend | None = None
@@ -60,6 +60,7 @@
         self.entries: dict[int, Entry] = {}
         self.lag_us = 0         # how late the loop ran last: what is read now may have waited as long
         self.on_timer_change: Callable[[int], None] = lambda due: None
+        self.on_attempt_end: Callable[[int, Status], None] | None = None    # what health hears of attempts
         self._live: dict[int, Live] = {}
         self._rids: set[str] = set()        # of the open requests
         self._last_id = 0
@@ -122,7 +123,17 @@
     # What the coordinator's watch and the peers call
 
     def roster_changed(self, change: RosterChange) -> None:
+        """The roster, or a part of it, as the coordinator tells it, or as health weighs it: from here on
+        nothing new goes to a member that is not in service."""
         self.counters.roster_changes += 1
+        self._apply(change)
+
+    def judged(self, entries: list[Entry]) -> None:
+        """Members whose state or weight differs from what the roster says, by other evidence."""
+        self.counters.judgements += len(entries)
+        self._apply(RosterChange(False, 0, entries))
+
+    def _apply(self, change: RosterChange) -> None:
         if change.complete:
             named = {e.member.server for e in change.entries}
             for server in [s for s in self.entries if s not in named]:
@@ -200,6 +211,8 @@
         self._post(api.AttemptFinished(
             attempt.id, attempt.number, attempt.server, status, self.clock.now() - attempt.sent_us,
             live is None, result.note, result.fill_wait_us, result.load))
+        if self.on_attempt_end is not None:
+            self.on_attempt_end(attempt.server, status)
 
     # Timers
 
@@ -328,7 +341,7 @@
             self.peers.send(a.peer, a.data)
 
     def _fault(self, a) -> None:
-        self.log(f"module fault: {a.text}")
+        self.log("module_fault", "error", text=a.text)
 
 
 ACTIONS = {
@@ -340,7 +353,7 @@
     api.SetTimer: Engine._module_timer,
     api.CloseIdle: lambda engine, a: engine.backend.close_idle(a.server),
     api.SendPeer: Engine._send_peer,
-    api.LogLine: lambda engine, a: engine.log(f"module: {a.text}"),
+    api.LogLine: lambda engine, a: engine.log("module", text=a.text),
     api.Fault: Engine._fault,
     # The list is pushed by the coordinator, and caches may not be probed.
     api.WatchMembers: lambda engine, a: None,
--- /dev/null
+++ b/rookbend/net/background.py
@@ -0,0 +1,44 @@
+"""The driver of background work: starts what the plan says, when it says so."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rookbend.background.plan import Key, Plan
+from rookbend.core.clock import Clock
+
+
+class Runner:
+    """A job's key is (kind, ...); `work[kind]` runs it, given the key. A job is put into the plan again by
+    whoever wants it again. Work that raises is a fault of the program."""
+
+    def __init__(self, plan: Plan, clock: Clock):
+        self.plan, self.clock = plan, clock
+        self.work: dict[str, Callable[[Key], Awaitable[None]]] = {}
+        self._woken = trio.Event()
+
+    def wake(self) -> None:
+        """The plan has changed."""
+        self._woken.set()
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                now = self.clock.now()
+                for key, number in self.plan.take(now):
+                    nursery.start_soon(self._one, key, number)
+                self._woken = trio.Event()
+                due = self.plan.due(now)
+                with trio.CancelScope() as scope:
+                    if due:
+                        scope.deadline = self.clock.monotonic_at(due)
+                    await self._woken.wait()
+
+    async def _one(self, key: Key, number: int) -> None:
+        try:
+            await self.work[key[0]](key)
+        finally:
+            self.plan.done(number)
+            self.wake()
--- a/rookbend/net/dns.py
+++ b/rookbend/net/dns.py
@@ -14,6 +14,7 @@
 from rookbend.fronts.dns import DnsFront
 from rookbend.net.accept import accept, listen
 from rookbend.net.channel import Channel, Outbox, prepare
+from rookbend.net.part import Part
 from rookbend.net.pool import open_socket
 from rookbend.protocol.dns import (
     LONGEST_MESSAGE,
@@ -47,15 +48,27 @@
     raise AssertionError("not reached")
 
 
-class DnsServer:
+class DnsServer(Part):
     """Both transports on one port; the port asked for may be 0."""
 
+    descriptors = TCP_CLIENTS + 32      # its clients, and lookups at the resolver
+
     def __init__(self, front: DnsFront, clock: Clock, address: tuple[str, int], outbox: Outbox):
-        self.front, self.clock, self.outbox = front, clock, outbox
+        self.front, self.clock, self.wanted, self.outbox = front, clock, address, outbox
         self.clients = 0
-        self.tcp, self.udp = open_both(address)
+
+    def open(self) -> None:
+        self.tcp, self.udp = open_both(self.wanted)
         self.address = self.tcp.getsockname()[:2]
 
+    def start(self, nursery: trio.Nursery) -> None:
+        self.front.resolver.nursery = nursery
+        nursery.start_soon(self.serve_udp)
+        nursery.start_soon(self.serve_tcp, trio.CancelScope())
+
+    def stop_taking(self) -> None:
+        self.front.closing = True
+
     async def serve_udp(self) -> None:
         while True:
             await trio.lowlevel.wait_readable(self.udp)
--- a/rookbend/net/health.py
+++ b/rookbend/net/health.py
@@ -1,55 +1,95 @@
-"""The drivers of the agent-check and of HTTP health."""
+"""The drivers towards a balancer in front: agent-check, HTTP and gRPC health, and the measuring of ourselves
+that they rest on."""
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 
 import trio
 
 from rookbend.core.clock import Clock
-from rookbend.net.accept import accept, listen
-from rookbend.net.channel import Channel, Outbox, prepare
-from rookbend.protocol.health import HealthHttp, agent_line
+from rookbend.health.headroom import Headroom, Sample
+from rookbend.health.standing import Standing
+from rookbend.net.channel import Channel, Outbox
+from rookbend.net.part import Part
+from rookbend.net.small import IDLE_US, SmallServer, serve_http
+from rookbend.protocol import health as http_health
+from rookbend.protocol.agent import write_line
 
-CLIENTS = 32
-IDLE_US = 10_000_000
+MEASURE_US = 250_000
 
 
-class HealthServer:
-    """Serves one of the two, by `protocol`: 'agent' says its line and closes, 'http' answers requests."""
+class Measuring(Part):
+    """Takes a sample of ourselves every `MEASURE_US`, and tells who follows us when it matters."""
 
-    def __init__(self, protocol: str, phase: Callable[[], str], clock: Clock, address: tuple[str, int],
-                 outbox: Outbox):
-        self.client = {"agent": self._agent, "http": self._http}[protocol]
-        self.phase, self.clock, self.outbox = phase, clock, outbox
-        self.clients = 0
-        self.listener = listen(address)
-        self.address = self.listener.getsockname()[:2]
+    def __init__(self, headroom: Headroom, sample: Callable[[], Sample], clock: Clock):
+        self.headroom, self.sample, self.clock = headroom, sample, clock
+        self.on_change: list[Callable[[], None]] = []
 
-    async def serve(self, scope: trio.CancelScope) -> None:
-        async with trio.open_nursery() as nursery:
-            await accept(self.listener, scope, lambda sock: self._take(sock, nursery))
+    def start(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._run)
 
-    def _take(self, sock: socket.socket, nursery: trio.Nursery) -> None:
-        if self.clients >= CLIENTS:
-            return sock.close()
-        self.clients += 1
-        nursery.start_soon(self._serve, Channel(prepare(sock), nursery, self.outbox))
+    async def _run(self) -> None:
+        while True:
+            before = self.headroom.up, self.headroom.weight
+            self.headroom.measure(self.clock.now(), self.sample())
+            if (self.headroom.up, self.headroom.weight) != before:
+                self.tell()
+            await trio.sleep_until(self.clock.monotonic_at(self.clock.now() + MEASURE_US))
 
-    async def _serve(self, channel: Channel) -> None:
+    def tell(self) -> None:
+        for told in self.on_change:
+            told()
+
+    def drain(self, by_us: int) -> None:
+        self.tell()
+
+
+def agent_server(address: tuple[str, int], clock: Clock, outbox: Outbox,
+                 standing: Callable[[], Standing]) -> SmallServer:
+    """Says one line to each who connects, and closes."""
+    async def client(channel: Channel) -> None:
+        s = standing()
+        channel.write(write_line(s.admin, s.up, s.weight, s.most_connections, s.reason))
+    return SmallServer(address, clock, outbox, client)
+
+
+def http_server(address: tuple[str, int], clock: Clock, outbox: Outbox,
+                standing: Callable[[], Standing]) -> SmallServer:
+    def handle(request) -> tuple[int, bytes, str]:
+        s = standing()
+        return (*http_health.answer(request, s.taking, s.state), "text/plain")
+
+    async def client(channel: Channel) -> None:
+        await serve_http(channel, handle)
+    return SmallServer(address, clock, outbox, client)
+
+
+class GrpcServer(SmallServer):
+    """Check and Watch. Watchers stay, and hear of each change at once."""
+
+    def __init__(self, address: tuple[str, int], clock: Clock, outbox: Outbox,
+                 standing: Callable[[], Standing]):
+        super().__init__(address, clock, outbox, self._grpc, lasting=True)
+        self.standing = standing
+        self.open_now: dict[Channel, object] = {}
+
+    async def _grpc(self, channel: Channel) -> None:
+        from rookbend.protocol.grpc_health import NOT_SERVING, SERVING, GrpcServe
+        grpc = GrpcServe(lambda: SERVING if self.standing().taking else NOT_SERVING)
+        self.open_now[channel] = grpc
         try:
-            with trio.move_on_at(self.clock.monotonic_at(self.clock.now() + IDLE_US)):
-                await self.client(channel)
+            channel.write(grpc.start())
+            while not grpc.ended:
+                with trio.CancelScope() as scope:
+                    if not grpc.watched:    # one that watches stays for as long as it likes
+                        scope.deadline = self.clock.monotonic_at(self.clock.now() + IDLE_US)
+                    channel.write(grpc.feed(await channel.receive()))
+                if scope.cancelled_caught:
+                    return
         finally:
-            self.clients -= 1
-            channel.send()
-            channel.close()
-
-    async def _agent(self, channel: Channel) -> None:
-        channel.write(agent_line(self.phase()))
+            del self.open_now[channel]
 
-    async def _http(self, channel: Channel) -> None:
-        http = HealthHttp()
-        while not http.ended:
-            channel.write(http.feed(await channel.receive(), self.phase()))
+    def changed(self) -> None:
+        for channel, grpc in self.open_now.items():
+            channel.write(grpc.changed())
--- a/rookbend/net/pool.py
+++ b/rookbend/net/pool.py
@@ -249,7 +249,7 @@
         """Ends a connection of no further use. What is out on it may go again once the member knows: it
         may still be sending what we take no more of."""
         self.pool.counters.garbage += 1
-        self.pool.engine.log(f"member {self.entry.name}: {why}; connection closed")
+        self.pool.engine.log("member_garbage", "warning", member=self.entry.name, reason=why)
         link.reading, unread = trio.CancelScope(), 0
         self._end(link)
         with link.reading:
--- /dev/null
+++ b/rookbend/net/small.py
@@ -0,0 +1,71 @@
+"""What the small TCP servers for operators and balancers have in common: a bound on clients, and a time by
+which each is let go."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rookbend.core.clock import Clock
+from rookbend.net.accept import accept, listen
+from rookbend.net.channel import Channel, Outbox, prepare
+from rookbend.net.part import Part
+from rookbend.protocol.http_serve import HttpRequest, HttpServe
+
+CLIENTS = 32
+IDLE_US = 10_000_000
+
+
+class SmallServer(Part):
+    """`client(channel)` speaks to one client, to its end; `lasting` for one whose clients stay."""
+
+    descriptors = CLIENTS + 1
+
+    def __init__(self, address: tuple[str, int], clock: Clock, outbox: Outbox,
+                 client: Callable[[Channel], Awaitable[None]], lasting: bool = False):
+        self.wanted, self.clock, self.outbox = address, clock, outbox
+        self.client, self.lasting = client, lasting
+        self.clients = 0
+        self.address: tuple[str, int] | None = None
+
+    def open(self) -> None:
+        self.listener = listen(self.wanted)
+        self.address = self.listener.getsockname()[:2]
+
+    def start(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._serve)
+
+    async def _serve(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await accept(self.listener, trio.CancelScope(), lambda sock: self._take(sock, nursery))
+
+    def _take(self, sock: socket.socket, nursery: trio.Nursery) -> None:
+        if self.clients >= CLIENTS:
+            return sock.close()
+        self.clients += 1
+        nursery.start_soon(self._client, Channel(prepare(sock), nursery, self.outbox))
+
+    async def _client(self, channel: Channel) -> None:
+        try:
+            with trio.CancelScope() as scope:
+                if not self.lasting:
+                    scope.deadline = self.clock.monotonic_at(self.clock.now() + IDLE_US)
+                await self.client(channel)
+        finally:
+            self.clients -= 1
+            channel.send()
+            channel.close()
+
+
+async def serve_http(channel: Channel, handle: Callable[[HttpRequest], tuple[int, bytes, str]]) -> None:
+    """Answers each request of a connection by `handle`: (status, body, content type)."""
+    http = HttpServe()
+    while not http.ended:
+        request = http.feed(await channel.receive())
+        while request is not None:
+            channel.write(http.answer(*handle(request)))
+            request = None if http.ended else http.next()
+        if http.refusal:
+            channel.write(http.refusal)
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -18,6 +18,7 @@
 class Watch:
     def __init__(self, engine: Engine, translator: Translator, address: tuple[str, int] | None):
         self.engine, self.translator, self.address = engine, translator, address
+        self.roster_changed = engine.roster_changed     # or health's, which weighs it and passes it on
         self.last_index = 0
         self._call = trio.CancelScope()     # the call under way, or the pause before the next
 
@@ -41,11 +42,11 @@
             event = self.translator.translate(update)
         except StreamError as error:
             # One event that can't be used must not cost those that follow it.
-            return self.engine.log(f"coordinator: {error}")
+            return self.engine.log("coordinator_event_unusable", "error", reason=str(error))
         if isinstance(event, Purge):
             self.engine.purged(event)
         elif event is not None:
-            self.engine.roster_changed(event)
+            self.roster_changed(event)
 
     async def run(self) -> None:
         pause = PAUSE_S
@@ -55,7 +56,7 @@
                 try:
                     await self._follow()
                 except (OSError, StreamError, trio.BrokenResourceError) as error:
-                    self.engine.log(f"coordinator: {error or type(error).__name__}; calling again")
+                    self.engine.log("coordinator_lost", "warning", reason=str(error) or type(error).__name__)
                 pause = PAUSE_S if self.last_index != before else min(2 * pause, PAUSE_MOST_S)
                 await trio.sleep(pause)
             if self._call.cancelled_caught:
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -1,35 +1,43 @@
-"""The lifecycle of a director: one object, whose phases are named states."""
+"""The lifecycle of a director: one object, whose phases are named states.
+
+What every director has is built here; what the operators' settings ask for comes from `parts`, behind the one
+interface of `net/part.py`.
+"""
 
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import socket
-import sys
 import time
 from collections.abc import AsyncIterator, Callable
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
-from rookbend.config import Config, ConfigError, DnsConfig, Fronts
+from rookbend import parts
+from rookbend.config import Config, ConfigError
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
-from rookbend.fronts.dns import DnsFront
-from rookbend.fronts.platform import PlatformFront
+from rookbend.fronts.platform import OVERRUN_US, PlatformFront
 from rookbend.logic import Router
+from rookbend.logs import Log
 from rookbend.net.accept import listen
 from rookbend.net.channel import Outbox
-from rookbend.net.dns import TCP_CLIENTS, DnsServer, ResolverClient
 from rookbend.net.front import FrontServer
-from rookbend.net.health import CLIENTS as HEALTH_CLIENTS
-from rookbend.net.health import HealthServer
+from rookbend.net.part import Part
 from rookbend.net.peers import PeerSocket
 from rookbend.net.pool import Pool
 from rookbend.net.watch import Watch
 from rookbend.protocol.events import Translator, split_address
+from rookbend.settings import Fault, Settings
+
+if TYPE_CHECKING:
+    from rookbend.health.headroom import Headroom, Sample
 
 LATECOMERS_US = 700_000     # after SIGTERM new requests still arrive for this long, and are served
 SETTLED_US = 3_500_000      # and by then everything has its answer: SIGKILL may follow 0.2 s later
@@ -37,14 +45,16 @@
 LAG_BEAT_US = 50_000        # the loop's lateness is measured so often
 CLIENT_SHARE = 3            # clients may hold one descriptor in so many
 OWN_DESCRIPTORS = 40        # listeners, the coordinator, the loop's own
-DNS_DESCRIPTORS = TCP_CLIENTS + 32      # its clients, and lookups at the resolver
 LEAST_CONNECTIONS = 16
 UNSENT_SHARE = 4            # bytes not yet taken by clients may fill one byte of memory in so many
+PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
 SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1
 # What a reload does not change: it is built into what runs, or of this start alone (`known`, `seed`).
 AT_START = "name", "listen", "settings", "limits", "peer_listen", "peers", "peers_all"
+# Of the operators' settings, what it does change.
+RELOADED = "health", "checks"
 
 
 class Phase(Enum):
@@ -62,21 +72,20 @@
     return split_address(config.coordinator) if config.coordinator else None
 
 
-def log(text: str) -> None:
-    print(f"rookbend: {text}", file=sys.stderr, flush=True)
-
-
 class Service:
-    def __init__(self, config: Config, fronts: Fronts | None = None,
-                 unix: Callable[[], float] = time.time, read_config: Callable[[], Config] | None = None):
-        self.config, self.fronts = config, fronts or Fronts()
-        self.read_config = read_config or (lambda: config)
+    def __init__(self, config: Config, operators: Settings | None = None,
+                 unix: Callable[[], float] = time.time,
+                 read_config: Callable[[], tuple[Config, Settings]] | None = None):
+        self.config, self.operators = config, operators or Settings()
+        self.read_config = read_config or (lambda: (config, self.operators))
         self.phase = Phase.STARTING
         self.counters = Counters()
         self.outbox = Outbox()
         settings = config.router_settings()
         self.clock = Clock(trio.lowlevel.current_clock().current_time, unix)
-        self.engine = Engine(settings, Router(settings, int(config.seed, 16)), self.clock, self.counters, log)
+        self.log = Log(self.clock.now, **msgspec.structs.asdict(self.operators.log))
+        router = Router(settings, int(config.seed, 16))
+        self.engine = Engine(settings, router, self.clock, self.counters, self.log)
         self.watch = Watch(
             self.engine, Translator(config.settings.zones, config.settings.kinds),
             coordinator_address(config))
@@ -88,8 +97,12 @@
         self.drain_began_us = 0
         self.address: tuple[str, int] | None = None     # where clients connect, once it listens
         self.ready = trio.Event()
-        self.dns: DnsServer | None = None
-        self.health: list[HealthServer] = []
+        self.pool: Pool | None = None
+        # Parts that others look at, where the settings ask for them.
+        self.dns = self.health = self.admin = None
+        self.headroom: Headroom | None = None
+        self.balancer: list[Part] = []
+        self.parts: list[Part] = parts.optional(self)
         self._stopping = trio.Event()
         self._timer_due_earlier = trio.Event()
 
@@ -99,26 +112,37 @@
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
-        log(f"{self.config.name} is {phase.value}")
+        self.log(phase.value, director=self.config.name)
+
+    def tell_counters(self) -> None:
+        self.log("counters", **self.counters.fields())
 
     def stop(self) -> None:
         """Begins the drain. A second call changes nothing."""
         self._stopping.set()
 
     def reload(self) -> None:
-        """Reads the configuration again and moves the watch to the coordinator it names. Everything taken
-        goes on, and so do the numbers of the events. A file that can't be used changes nothing."""
+        """Reads configuration and settings again: the watch moves to the coordinator they name, the parts
+        hear of what is theirs. Everything taken goes on, and so do the numbers of the events. Files that
+        can't be used change nothing."""
         try:
-            new = self.read_config()
-        except ConfigError as error:
-            return log(f"configuration not taken: {error}; the old one holds")
+            new, operators = self.read_config()
+        except (ConfigError, Fault) as error:
+            return self.log("reload_failed", "error", reason=str(error))
         old, self.config = self.config, msgspec.structs.replace(self.config, coordinator=new.coordinator)
         self.counters.reloads += 1
         if new.coordinator != old.coordinator:
             self.watch.move(coordinator_address(new))
         later = [name for name in AT_START if getattr(new, name) != getattr(old, name)]
-        log(f"configuration read again: coordinator {new.coordinator or 'none'}"
-            + (f"; only a restart changes {', '.join(later)}" if later else ""))
+        later += [f"[{name.replace('_', '-')}]" for name in Settings.__struct_fields__
+                  if getattr(operators, name) != getattr(self.operators, name)
+                  and (name not in RELOADED or self.health is None or operators.health is None)]
+        for part in self.parts:
+            part.reload(operators)
+        if self.health is not None and operators.health is not None:
+            kept = {name: getattr(operators, name) for name in RELOADED}
+            self.operators = msgspec.structs.replace(self.operators, **kept)
+        self.log("reloaded", coordinator=new.coordinator or "none", restart_for=",".join(later) or "nothing")
 
     async def run(self, signals: AsyncIterator[int] | None = None) -> None:
         """Serves until `stop` is called, or a signal says so, and everything taken is settled."""
@@ -126,8 +150,9 @@
         listener, peers = self._open_sockets()
         engine.peers = peers
         async with trio.open_nursery() as nursery:
-            pool = Pool(engine, self.counters, nursery, self.outbox, config.settings.limits.max_streams,
-                        config.settings.limits.idle_close_us, self._most_connections())
+            pool = self.pool = Pool(
+                engine, self.counters, nursery, self.outbox, config.settings.limits.max_streams,
+                config.settings.limits.idle_close_us, self._most_connections())
             engine.backend = pool
             engine.on_timer_change = lambda due: self._timer_due_earlier.set()
             self.watch.take_known(config.known)
@@ -143,12 +168,8 @@
             nursery.start_soon(self.watch.run)
             accepting = trio.CancelScope()
             nursery.start_soon(self.front.serve, listener, accepting)
-            if self.dns is not None:
-                self.dns.front.resolver.nursery = nursery
-                nursery.start_soon(self.dns.serve_udp)
-                nursery.start_soon(self.dns.serve_tcp, trio.CancelScope())
-            for server in self.health:
-                nursery.start_soon(server.serve, trio.CancelScope())
+            for part in self.parts:
+                part.start(nursery)
             # What is built by now stays: a collection of it would stall every request for nothing.
             gc.freeze()
             self.enter(Phase.READY)
@@ -157,58 +178,51 @@
             await self._drain(accepting)
             nursery.cancel_scope.cancel()
         self.enter(Phase.STOPPED)
-        log(f"counters: {self.counters.line()}")
+        self.tell_counters()
 
     def _most_connections(self) -> int:
-        """To members: what clients and the other fronts leave of the descriptors."""
+        """To members: what clients and the other parts leave of the descriptors."""
         sockets = self.config.limits.sockets
-        kept = sockets // CLIENT_SHARE + OWN_DESCRIPTORS
-        kept += DNS_DESCRIPTORS * bool(self.dns) + HEALTH_CLIENTS * len(self.health)
+        kept = sockets // CLIENT_SHARE + OWN_DESCRIPTORS + sum(part.descriptors for part in self.parts)
         return max(LEAST_CONNECTIONS, sockets - kept)
 
     def _open_sockets(self) -> tuple[socket.socket, PeerSocket | None]:
-        config, fronts, peers = self.config, self.fronts, None
+        config, peers = self.config, None
         try:
             listener = listen(split_address(config.listen))
             if config.peer_listen:
                 peers = PeerSocket(
                     self.engine, split_address(config.peer_listen), [split_address(p) for p in config.peers],
                     split_address(config.peers_all) if config.peers_all else None)
-            if fronts.dns.listen:
-                self.dns = self._open_dns(fronts.dns)
-            for protocol, where in (("agent", fronts.agent_check), ("http", fronts.health)):
-                if where.listen:
-                    self.health.append(HealthServer(
-                        protocol, lambda: self.phase.value, self.clock, split_address(where.listen),
-                        self.outbox))
+            for part in self.parts:
+                part.open()
         except OSError as error:
             raise CannotListen(f"cannot listen: {error}") from None
         self.address = listener.getsockname()[:2]
         return listener, peers
 
-    def _open_dns(self, dns: DnsConfig) -> DnsServer:
-        seed = int(self.config.seed, 16)
-        resolver = ResolverClient(split_address(dns.resolver), self.clock, seed)
-        front = DnsFront(self.engine, resolver, dns.zone, dns.box_name, dns.budget_ms * 1000, seed)
-        return DnsServer(front, self.clock, split_address(dns.listen), self.outbox)
-
     async def _drain(self, accepting: trio.CancelScope) -> None:
         self.enter(Phase.DRAINING)
         now = self.drain_began_us = self.clock.now()
         self.front.say_closing()
         settled = now + SETTLED_US
         self.engine.settle_by(settled)
+        for part in self.parts:
+            part.drain(settled)
         await trio.sleep_until(self.clock.monotonic_at(now + LATECOMERS_US))
         accepting.cancel()
-        if self.dns is not None:
-            self.dns.front.closing = True
-        while (self.engine.open_requests or self.front.unsent) and self.clock.now() < settled + TIMER_STEP_US:
+        for part in self.parts:
+            part.stop_taking()
+        while self._is_busy() and self.clock.now() < settled + TIMER_STEP_US:
             await trio.sleep(0.01)
 
+    def _is_busy(self) -> bool:
+        return bool(self.engine.open_requests or self.front.unsent) or any(part.busy for part in self.parts)
+
     async def _signals(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
             if number == signal.SIGUSR1:
-                log(f"counters: {self.counters.line()}")
+                self.tell_counters()
             elif number == signal.SIGHUP:
                 self.reload()
             else:
@@ -227,7 +241,6 @@
             else:
                 await self._timer_due_earlier.wait()
 
-
     async def _measure_lag(self) -> None:
         """How late the loop runs. On a beat of its own: with no request open there is no timer to tell it,
         and a lag that nobody measured again would have everything refused for good."""
@@ -236,10 +249,43 @@
             await trio.sleep_until(self.clock.monotonic_at(wake))
             self.engine.lag_us = max(0, self.clock.now() - wake)
 
-
-async def serve(config: Config, fronts: Fronts, read_config: Callable[[], Config]) -> None:
-    """Runs a director until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 prints the
-    counters."""
-    service = Service(config, fronts, read_config=read_config)
+    # What is measured of ourselves
+
+    def sample(self) -> Sample:
+        from rookbend.health.headroom import Sample
+
+        limits, engine = self.config.limits, self.engine
+        lag_us = self.operators.headroom.lag_us or OVERRUN_US
+        members = [e for e in engine.entries.values() if self._is_ours(e)]
+        with open("/proc/self/statm", "rb") as f:
+            resident = int(f.read().split()[1]) * PAGE
+        return Sample(
+            engine.lag_us / lag_us, engine.open_requests / engine.settings.max_open,
+            (self.pool.connections + len(self.front.open) + OWN_DESCRIPTORS) / limits.sockets,
+            resident / (limits.memory_mb << 20), len(members),
+            sum(engine.serving(e.member.server) for e in members))
+
+    def _is_ours(self, entry) -> bool:
+        s, member = self.engine.settings, entry.member
+        return member.zone == s.zone and member.kind not in (s.parent_kind, s.origin_kind)
+
+    def gauges(self) -> dict[str, float]:
+        """Figures that go up and down, for the operators' listener."""
+        found = {"loop_lag_seconds": self.engine.lag_us / 1e6, "open_requests": self.engine.open_requests,
+                 "member_connections": self.pool.connections if self.pool else 0,
+                 "clients_open": len(self.front.open)}
+        if self.headroom is not None:
+            found["headroom_percent"] = self.headroom.weight
+        if self.health is not None:
+            plan = self.health.runner.plan
+            found.update(background_jobs=len(plan.jobs), background_running=plan.running)
+        return found
+
+
+async def serve(config: Config, operators: Settings,
+                read_config: Callable[[], tuple[Config, Settings]]) -> None:
+    """Runs a director until SIGTERM or SIGINT. SIGHUP reads configuration and settings again, SIGUSR1 prints
+    the counters."""
+    service = Service(config, operators, read_config=read_config)
     with trio.open_signal_receiver(*SIGNALS) as signals:
         await service.run(signals)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -20,10 +20,11 @@
 import trio
 import trio.testing
 
-from rookbend.config import Config, DnsConfig, Fronts, ListenConfig
+from rookbend.config import Config
 from rookbend.net.dns import open_both
 from rookbend.protocol import dns as dns_protocol
 from rookbend.service import Service
+from rookbend.settings import parse
 
 UNIX = 1_764_576_000.0
 PATIENCE = 60
@@ -45,6 +46,19 @@
     "zone": 1, "siblings": 1, "zones": ["hub", "edge"], "kinds": ["standard", "parent", "origin"],
     "report": {"fields": ["utilization", "outstanding", "x1"]},
 }
+OPERATORS = """
+[dns]
+    listen 127.0.0.1:0
+    resolver 127.0.0.1:{resolver}
+    {dns}
+[agent-server]
+    listen 127.0.0.1:0
+[http-server]
+    listen 127.0.0.1:0
+[grpc-server]
+    listen 127.0.0.1:0
+{more}
+"""
 
 
 def pairs(words):
@@ -300,7 +314,7 @@
     """Asks the agent-check (no words to send) or an HTTP path."""
 
     async def send(self, words):
-        server = self.stage.service.health[0 if words[0] == "agent" else 1]
+        server = self.stage.service.balancer[0 if words[0] == "agent" else 1]
         async with await trio.open_tcp_stream(*server.address) as stream:
             if words[0] != "agent":
                 await stream.send_all(f"{words[0]} {words[1]} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
@@ -329,19 +343,17 @@
         return {"id": name, "host_port": f"{HOSTS[name]}:{self.ports[self.actors[name]]}", "locality": zone,
                 "flavor": flavor, "phase": phase, "size": 50.0}
 
-    async def open(self, members, most_connections=None, **changes):
+    async def open(self, members, most_connections=None, operators="", dns="", settings=SETTINGS):
         for name in (*HOSTS, "coordinator", "coordinator2", "dns", "resolver"):
             await self.actors[name].open()
         known = {"index": 1, "updates": [{"index": 1, "endpoints": {
             "complete": True, "members": [self.member(m) for m in members]}}]}
         config = msgspec.convert({
             "name": "n0", "listen": "127.0.0.1:0", "seed": "7", "known": known,
-            "coordinator": f"127.0.0.1:{self.actors['coordinator'].port}", "settings": SETTINGS}, Config)
-        dns_config = {"listen": "127.0.0.1:0", "resolver": "127.0.0.1:%d" % self.actors["resolver"].address[1]}
-        fronts = Fronts(DnsConfig(**{**dns_config, **changes}), ListenConfig("127.0.0.1:0"),
-                        ListenConfig("127.0.0.1:0"))
+            "coordinator": f"127.0.0.1:{self.actors['coordinator'].port}", "settings": settings}, Config)
         self.config = config
-        self.service = Service(config, fronts, self.unix, lambda: self.config)
+        self.operators = parse(OPERATORS.format(resolver=self.actors["resolver"].address[1], more=operators, dns=dns), "test")
+        self.service = Service(config, self.operators, self.unix, lambda: (self.config, self.operators))
         if most_connections is not None:
             self.service._most_connections = lambda: most_connections
         self.done = trio.Event()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -40,12 +40,16 @@
     assert err.startswith("rookbend: ") and err.count("\n") == 1
 
 
-def test_a_bad_fronts_file_is_one_line_and_exit_2(tmp_path):
-    fronts = tmp_path / "fronts.toml"
-    fronts.write_text("[dns]\nlisten = 5\n")
-    process = run(tmp_path, GOOD, NODE_FRONTS=str(fronts))
+@pytest.mark.parametrize("text, fault", [
+    ("[dns]\n  listen 5\n", "2: listen: no HOST:PORT"),
+    ("[health]\n\n[check a]\n  type tcp\n", "3: [check a] probes members, which the platform's settings forbid"),
+])
+def test_bad_operators_settings_are_one_line_with_its_place_and_exit_2(tmp_path, text, fault):
+    path = tmp_path / "rookbend.conf"
+    path.write_text(text)
+    process = run(tmp_path, GOOD, NODE_SETTINGS=str(path))
     _, err = process.communicate()
-    assert process.returncode == 2 and err.count("\n") == 1
+    assert process.returncode == 2 and err.count("\n") == 1 and f"{path}:{fault}" in err
 
 
 def test_check_config_says_what_it_holds(tmp_path):
@@ -60,21 +64,21 @@
 
 def test_serve_prints_counters_on_a_signal_and_leaves_with_0(tmp_path):
     process = run(tmp_path, GOOD)
-    assert "n3 is ready" in process.stderr.readline()
+    assert "event=ready director=n3" in process.stderr.readline()
     process.send_signal(signal.SIGUSR1)
-    assert "counters: requests=0" in process.stderr.readline()
+    assert "event=counters requests=0" in process.stderr.readline()
     process.send_signal(signal.SIGTERM)
     _, err = process.communicate()
     assert process.returncode == 0
-    assert "is draining" in err and "is stopped" in err and "counters: requests=0" in err
+    assert "event=draining" in err and "event=stopped" in err and "event=counters requests=0" in err
 
 
 def test_sighup_reads_the_file_again_and_a_bad_one_changes_nothing(tmp_path):
     process = run(tmp_path, GOOD)
-    assert "n3 is ready" in process.stderr.readline()
-    for text, line in (("{", "configuration not taken: NODE_CONFIG is not usable"),
+    assert "event=ready director=n3" in process.stderr.readline()
+    for text, line in (("{", 'event=reload_failed reason="NODE_CONFIG is not usable'),
                        (json.dumps({**GOOD, "seed": "2", "coordinator": "127.0.0.1:9", "listen": "127.0.0.1:1"}),
-                        "configuration read again: coordinator 127.0.0.1:9; only a restart changes listen")):
+                        "event=reloaded coordinator=127.0.0.1:9 restart_for=listen")):
         (tmp_path / "config.json").write_text(text)
         process.send_signal(signal.SIGHUP)
         assert line in process.stderr.readline()
--- a/tests/test_dns_front.py
+++ b/tests/test_dns_front.py
@@ -235,21 +235,21 @@
 def test_a_reply_too_long_for_a_datagram_is_truncated_and_whole_over_tcp():
     long = ".".join(["x" * 60] * 3) + ".example.org"
     name = READ.replace("route.example.org", long)
-    boxes = {"zone": long, "box_name": "{id}." + ".".join(["y" * 60] * 3 + ["z" * 40]) + ".example.net"}
+    box_name = "{id}." + ".".join(["y" * 60] * 3 + ["z" * 40]) + ".example.net"
     play(f"""
         dns send {name} plain id=5
         cache1 expect do k={OBJ}
         cache1 send ok note=mem body=hello
-        resolver expect {boxes["box_name"].format(id="cache1")}
+        resolver expect {box_name.format(id="cache1")}
         resolver send 127.0.0.11
         dns expect udp id=5 truncated unnamed
         dns send tcp {name} plain id=6
         cache1 expect do k={OBJ}
         cache1 send ok note=mem body=hello
-        resolver expect {boxes["box_name"].format(id="cache1")}
+        resolver expect {box_name.format(id="cache1")}
         resolver send 127.0.0.11
         dns expect tcp id=6 NOERROR 127.0.0.11
-    """, **boxes)
+    """, dns=f"zone {long}\n box-name {box_name}")
 
 
 @pytest.mark.parametrize("name, rcode", [
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from rookbend.protocol.health import HealthHttp
+from rookbend.protocol.health import answer
+from rookbend.protocol.http_serve import HttpServe
 from tests.stage import play
 
 
@@ -41,11 +42,12 @@
 
 @pytest.mark.parametrize("data", [b"\x00\x01\r\n\r\n", b"GET /" + b"x" * 9000])
 def test_what_is_no_http_is_refused_and_ends(data):
-    http = HealthHttp()
-    assert b" 4" in http.feed(data, "ready")[:12] and http.ended
+    http = HttpServe()
+    assert http.feed(data) is None and b" 4" in http.refusal[:12] and http.ended
 
 
 def test_one_connection_may_ask_again():
-    http, ask = HealthHttp(), b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n"
-    assert b"200" in http.feed(ask, "ready") and b"503" in http.feed(ask, "draining") and not http.ended
-    assert http.feed(b"", "ready") == b"" and http.ended
+    http, ask = HttpServe(), b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n"
+    for taking, status in ((True, b"200"), (False, b"503")):
+        assert status in http.answer(*answer(http.feed(ask), taking, "x")) and not http.ended
+    assert http.feed(b"") is None and http.ended
