--- /dev/null
+++ b/benchmarks/health.py
@@ -0,0 +1,247 @@
+"""Health on loopback: how soon a box that is said to drain gets nothing new, and what hearing costs.
+
+    python -m benchmarks.health [--quick] [--before CHECKOUT]
+
+1. reaction: from an agent's answer `drain`, or the coordinator's event written, to the last byte of a new
+   attempt that its box reads after it. Seen from outside the director, by the clock of the stand-ins.
+2. stalled: client latency and CPU a request with none and with 30% of the agents stalled in mid-reply, in
+   turns of equal length, several of each in one run.
+3. cost: CPU a check, and bytes a member on the board and in the plan.
+4. platform: memory and time to start with all of it off, beside another checkout (the version before).
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import statistics
+import sys
+import tempfile
+import time
+import tracemalloc
+from pathlib import Path
+
+import trio
+
+from benchmarks.measure import figures, machine, percentile, spread, table
+from rookbend.lab.agents import Manner
+from rookbend.lab.fleet import Clients, Director, Fleet, fleet, free_port
+
+HERE = Path(__file__).parent.parent
+SEED = 7
+OPERATORS = """
+[background]
+    rate 2000
+    running 256
+    descriptors 256
+[health]
+    max-out 50%
+    slow-start 1s
+    hold 100ms
+[check agent]
+    type agent
+    port {port}
+    interval {interval}
+    fast 500ms
+    answer-by 500ms
+    stale 1m
+"""
+DRAIN, READY = Manner(text=b"drain\n"), Manner(text=b"ready up 100%\n")
+STALL = Manner("stall", b"up ready 100%\n")
+SETTLE_S = 1.5      # an attempt to a box that was drained this long ago is looked for no more
+
+
+def director(made: Fleet, folder: Path, probes: bool, operators: str) -> tuple[Director, tuple[str, int]]:
+    port = free_port()
+    folder.mkdir(parents=True, exist_ok=True)
+    return Director(HERE, folder, made.config(probes, port), operators), ("127.0.0.1", port)
+
+
+def hot_objects(count: int) -> list[str]:
+    rng = random.Random(SEED)
+    return [f"{rng.getrandbits(64):016x}" for _ in range(count)]
+
+
+async def reaction(members: int, seconds: float, rate: float, folder: Path) -> dict:
+    """Drains the boxes that are read most, now by their agent, now by the roster, and back."""
+    delays: dict[str, list[float]] = {"agent": [], "roster": []}
+    after = {"agent": 0, "roster": 0}
+    async with fleet(members) as made, trio.open_nursery() as nursery:
+        for box in made.boxes:
+            box.agent.manner = READY
+        node, address = director(made, folder, True, OPERATORS.format(
+            port=made.agent_port, interval="1s" if members <= 100 else "4s"))
+        await trio.to_thread.run_sync(node.start)
+        clients = Clients(address, rate, hot_objects(24), SEED)
+        nursery.start_soon(clients.run)
+        await trio.sleep(2)
+        until = time.monotonic() + seconds
+        for turn in range(10**6):
+            if time.monotonic() > until:
+                break
+            ways = "agent", "roster"
+            now = time.monotonic()
+            busy = sorted(made.caches, key=lambda b: -sum(t > now - 1 for t in b.arrivals))
+            drained = dict(zip(ways, busy if turn % 2 else busy[1::-1], strict=False))
+            told = {}
+            await made.coordinator.tell(drained["roster"].line("DRAINING"))
+            told["roster"] = time.monotonic()
+            agent = drained["agent"].agent
+            heard = trio.Event()
+
+            def on_asked(data, heard=heard, told=told):
+                if "agent" not in told:
+                    told["agent"] = time.monotonic()
+                    heard.set()
+
+            agent.on_asked, agent.manner = on_asked, DRAIN
+            await heard.wait()
+            await trio.sleep(SETTLE_S)
+            for way, box in drained.items():
+                late = [t - told[way] for t in box.arrivals if t > told[way]]
+                delays[way].append(max(late, default=0.0) * 1000)
+                after[way] += len(late)
+            agent.on_asked, agent.manner = (lambda data: None), READY
+            await made.coordinator.tell(drained["roster"].line())
+            await trio.sleep(0.5)
+        served = sum(code == 0 for _, _, code in clients.times)
+        found = {"members": members, "served": served, "answers": len(clients.times), "late": clients.late,
+                 "delays": delays, "after": after}
+        nursery.cancel_scope.cancel()
+        assert await trio.to_thread.run_sync(node.stop) == 0
+    return found
+
+
+async def stalled(members: int, turns: int, seconds: float, rate: float, folder: Path) -> dict:
+    """Turn and turn about: all agents answer; 30% stop in mid-reply."""
+    p99, median, cpu = ({0: [], 30: []} for _ in range(3))
+    async with fleet(members) as made, trio.open_nursery() as nursery:
+        for box in made.boxes:
+            box.agent.manner = READY
+        node, address = director(made, folder, True, OPERATORS.format(port=made.agent_port, interval="1s"))
+        await trio.to_thread.run_sync(node.start)
+        clients = Clients(address, rate, hot_objects(200), SEED)
+        nursery.start_soon(clients.run)
+        await trio.sleep(2)
+        rng = random.Random(SEED)
+        chosen = rng.sample(made.caches, members * 3 // 10)
+        for turn in range(2 * turns):
+            share = 30 if (turn + turn // 2) % 2 else 0     # 0 30 30 0 0 30 ...: a drift falls on both alike
+            for box in chosen:
+                box.agent.manner = STALL if share else READY
+            await trio.sleep(1.5)
+            begun, cpu_before = time.monotonic(), node.cpu_s()
+            await trio.sleep(seconds)
+            used = node.cpu_s() - cpu_before
+            times = [taken * 1000 for due, taken, code in clients.times if due >= begun and code == 0]
+            p99[share].append(percentile(times, 0.99))
+            median[share].append(percentile(times, 0.5))
+            cpu[share].append(used / len(times) * 1e6)
+        nursery.cancel_scope.cancel()
+        assert await trio.to_thread.run_sync(node.stop) == 0
+    return {"p99": p99, "median": median, "cpu": cpu, "late": clients.late}
+
+
+async def cost_of_checks(members: int, seconds: float, folder: Path) -> dict:
+    """CPU a check: a director without clients, checks on and off, in two processes side by side."""
+    async with fleet(members) as made:
+        for box in made.boxes:
+            box.agent.manner = READY
+        on, _ = director(made, folder / "on", True, OPERATORS.format(port=made.agent_port, interval="1s"))
+        off, _ = director(made, folder / "off", True, "")
+        for node in (on, off):
+            await trio.to_thread.run_sync(node.start)
+        await trio.sleep(2)
+        before, asked = (on.cpu_s(), off.cpu_s()), sum(b.agent.asked for b in made.boxes)
+        await trio.sleep(seconds)
+        used = on.cpu_s() - before[0] - (off.cpu_s() - before[1])
+        checks = sum(b.agent.asked for b in made.boxes) - asked
+        resident = on.resident_kb() - off.resident_kb()
+        for node in (on, off):
+            await trio.to_thread.run_sync(node.stop)
+    return {"checks": checks, "us": used / checks * 1e6, "resident_kb": resident}
+
+
+def bytes_a_member(count: int) -> float:
+    """Of the board's rows and the plan's jobs, one check each."""
+    from rookbend.background.plan import Plan, Room
+    from rookbend.core.model import Entry
+    from rookbend.health.board import Board
+    from rookbend.health.model import CheckPolicy, HealthPolicy, RosterHeard
+    from rookbend.interface import Member
+
+    entries = [Entry(Member(i, zone=1), f"m{i}", ("127.0.0.1", i % 65536)) for i in range(1, count + 1)]
+    board = Board(HealthPolicy((CheckPolicy("agent", True),)), lambda e: "cache")
+    plan = Plan(1, Room(1, 1))
+    tracemalloc.start()
+    board.handle(1, RosterHeard(True, entries))
+    for i in range(1, count + 1):
+        plan.put(("check", i, "agent"), i)
+    board.out = []
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / count
+
+
+def platform_start(before: Path | None, rounds: int, folder: Path) -> dict:
+    """Resident memory and seconds to be ready with all of it off."""
+    sides = {"now": HERE, **({"before": before} if before else {})}
+    memory, seconds = ({side: [] for side in sides} for _ in range(2))
+    for turn in range(rounds):
+        for side in sorted(sides, reverse=bool(turn % 2)):
+            config = {"name": "n0", "listen": f"127.0.0.1:{free_port()}", "seed": "7",
+                      "settings": Fleet(0).config(False, 0)["settings"]}
+            where = folder / f"{side}{turn}"
+            where.mkdir(parents=True)
+            node = Director(sides[side], where, config, "")
+            seconds[side].append(node.start())
+            time.sleep(0.2)
+            memory[side].append(node.resident_kb() / 1024)
+            node.stop()
+    return {"memory": memory, "seconds": seconds}
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.health", description=__doc__.splitlines()[0])
+    parser.add_argument("--quick", action="store_true", help="small sizes, under 45 s")
+    parser.add_argument("--before", type=Path, help="a checkout of the version before, for part 4")
+    args = parser.parse_args(argv)
+    sizes = (10, 100) if args.quick else (10, 100, 1000)
+    found: dict = {"seed": SEED}
+    print(machine())
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        rows = []
+        for size in sizes:
+            r = trio.run(reaction, size, 7 if args.quick else 60, 250, folder / f"r{size}")
+            for way, delays in r["delays"].items():
+                rows.append([size, way, len(delays), percentile(delays, 0.5), percentile(delays, 0.99),
+                             max(delays), r["after"][way], f"{r['served']}/{r['answers']}"])
+                found[f"reaction_max_ms_{way}_{size}"] = round(max(delays), 2)
+        print(table(["members", "told by", "drains", "median ms", "p99 ms", "max ms", "attempts after",
+                     "served"], rows))
+        s = trio.run(stalled, 100, 2 if args.quick else 6, 2 if args.quick else 8, 250, folder / "s")
+        print(table(["stalled %", "median ms", "p99 ms", "CPU us a request"],
+                    [[k, spread(s["median"][k]), spread(s["p99"][k]), spread(s["cpu"][k])] for k in (0, 30)]))
+        for what in ("median", "p99", "cpu"):
+            low, high = (statistics.median(s[what][k]) for k in (0, 30))
+            found[f"stalled_{what}_ratio"] = round(high / low, 3)
+        found["client_late_ms"] = round(s["late"] * 1000, 1)
+        c = trio.run(cost_of_checks, 100 if args.quick else 1000, 4 if args.quick else 15, folder / "c")
+        per_member = bytes_a_member(1000)
+        print(f"{c['checks']} checks, {c['us']:.0f} us of CPU a check; {per_member:.0f} bytes a member; "
+              f"{c['resident_kb']} kB more resident")
+        found.update(check_cpu_us=round(c["us"]), member_bytes=round(per_member),
+                     health_on_kb=c["resident_kb"])
+        p = platform_start(args.before, 2 if args.quick else 9, folder / "p")
+        print(table(["off, version", "resident MB", "seconds to ready"],
+                    [[side, spread(p["memory"][side]), spread(p["seconds"][side])] for side in p["memory"]]))
+        for side, values in p["memory"].items():
+            found[f"platform_mb_{side}"] = round(statistics.median(values), 2)
+            found[f"platform_start_s_{side}"] = round(statistics.median(p["seconds"][side]), 3)
+    print(figures(**found))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -23,6 +23,7 @@
 from rookbend.config import Config
 from rookbend.health.model import Order, Ordered
 from rookbend.lab.agents import HealthPeer, Manner, http_answer, listen_together
+from rookbend.lab.fleet import SETTINGS
 from rookbend.net.dns import open_both
 from rookbend.protocol import dns as dns_protocol
 from rookbend.service import Service
@@ -34,20 +35,6 @@
 HOSTS = {"cache1": "127.0.0.11", "cache2": "127.0.0.12", "upper": "127.0.0.21", "records": "127.0.0.31"}
 ROLES = {"upper": ("hub", "parent"), "records": ("hub", "origin")}
 VERDICTS = {0: "served", 14: "refused", 2: "failed"}
-SETTINGS = {
-    "lanes": [
-        {"name": "tour-video", "aimUs": 600_000, "aimStretch": 2.0, "hardLimitUs": 5_000_000, "effect": "free"},
-        {"name": "submit-app", "aimUs": 600_000, "hardLimitUs": 3_000_000, "effect": "single_shot"}],
-    "familyInfo": {"goesThrough": [False, True], "secondTierKind": 1, "sourceKind": 2, "direct": True,
-                   "collapses": True, "detail": "all", "seatsByZone": [0, 1], "purgeTakesUs": 6_000_000,
-                   "purgeGraceUs": 500_000, "paceKbPerS": 1000.0},
-    "invariants": {"startCapacity": 0.2, "warmUpUs": 15_000_000, "tipMultiple": 4.0, "fallUs": 1_500_000,
-                   "drainGraceUs": 500_000},
-    "limits": {"maxAttempts": 6, "maxOpen": 1000, "connectTimeoutUs": 400_000, "cancelling": True,
-               "retryAfter": True, "maxRetryAfterUs": 500_000, "maxStreams": 100, "mayTell": True},
-    "zone": 1, "siblings": 1, "zones": ["hub", "edge"], "kinds": ["standard", "parent", "origin"],
-    "report": {"fields": ["utilization", "outstanding", "x1"]},
-}
 OPERATORS = """
 [dns]
     listen 127.0.0.1:0
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -92,3 +92,19 @@
     with pytest.raises(Fault) as found:
         parse(text, "FILE")
     assert str(found.value).startswith(f"FILE:{fault}")
+
+
+def test_every_directive_is_in_the_operators_page_and_the_shipped_file_is_good():
+    from pathlib import Path
+
+    from rookbend.settings.schema import SECTIONS
+    root = Path(__file__).parent.parent
+    page = (root / "docs" / "SETTINGS.md").read_text()
+    for kind, (_, _, directives) in SECTIONS.items():
+        assert f"`[{kind}" in page
+        assert not [name for name in directives if f"`{name}`" not in page], kind
+    shipped = (root / "deploy" / "rookbend.conf").read_text()
+    assert parse(shipped, "x") == Settings(), "everything is off on the platform"
+    # The examples in it are right too, once the comment signs are gone.
+    shown = "\n".join(line[2:] if line.startswith("# ") else line for line in shipped.splitlines()[5:])
+    assert parse(shown, "x").checks[0].port == 9777
