Hold what is off out of a director's memory by a test

A director with nothing but its own front must load none of health, checks, DNS, gRPC and metrics: the platform allows 64 MB. A process of its own builds the service and names what it found.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -109,3 +109,14 @@
 
     nested = configuration.to_router_settings(msgspec.convert(SETTINGS, configuration.DirectorSettings))
     assert nested == wire.parse_settings("\n".join(paths(SETTINGS)))
+
+
+def test_what_is_off_is_not_imported():
+    """Guards the platform's memory: a director with nothing but its own front loads none of these."""
+    off = ("dns", "h2", "google.protobuf", "prometheus_client", "rookbend.health.board", "rookbend.background",
+           "rookbend.net.checks", "rookbend.net.dns", "rookbend.net.small", "rookbend.lab")
+    code = ("import sys, msgspec, trio; from rookbend.service import Service; from rookbend.config import Config\n"
+            "async def main(): Service(msgspec.json.decode(sys.argv[1], type=Config))\n"
+            f"trio.run(main); print([m for m in {off!r} if m in sys.modules])")
+    done = subprocess.run([sys.executable, "-c", code, json.dumps(GOOD)], capture_output=True, text=True, check=True)
+    assert done.stdout == "[]\n"
