--- a/rookbend/lab/worth.py
+++ b/rookbend/lab/worth.py
@@ -1,9 +1,9 @@
 """Worth served against worth asked for, as the operators count it. Pure.
 
 A request is worth its class's worth if it was served within the class's aim (the aim, and a multiple of
-the time that sending its bytes takes), a share of it if served later but before the client gave up, and a share if
-from a copy past its fresh time. The figure mixes the whole run, its worst ten seconds and its worst class.
-A client's retries belong to its first try: what counts is when that was sent and what came last.
+the time that sending its bytes takes), a share of it if served later but before the client gave up, and a
+share if from a copy past its fresh time. The figure mixes the whole run, its worst ten seconds and its worst
+class. A client's retries belong to its first try: what counts is when that was sent and what came last.
 """
 
 from __future__ import annotations
