--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -6,8 +6,9 @@
    attempt that its box reads after it. Seen from outside the director, by the clock of the stand-ins.
 2. stalled: client latency and CPU a request with none and with 30% of the agents stalled in mid-reply, in
    turns of equal length, several of each in one run.
-3. cost: CPU a check, and bytes a member on the board and in the plan.
-4. platform: memory and time to start with all of it off, beside another checkout (the version before).
+3. before: the same figures of the version before, of this one with health off, and on.
+4. cost: CPU a check, and bytes a member on the board and in the plan.
+5. platform: memory and time to start with all of it off, beside another checkout (the version before).
 """
 
 from __future__ import annotations
@@ -48,7 +49,7 @@
 """
 DRAIN, READY = Manner(text=b"drain\n"), Manner(text=b"ready up 100%\n")
 STALL = Manner("stall", b"up ready 100%\n")
-PARTS = "reaction", "stalled", "cost", "platform"
+PARTS = "reaction", "stalled", "before", "cost", "platform"
 SETTLE_S = 1.5      # an attempt to a box that was drained this long ago is looked for no more
 
 
@@ -141,6 +142,40 @@
     return {"p99": p99, "median": median, "cpu": cpu, "late": clients.late}
 
 
+async def beside_before(members: int, turns: int, seconds: float, rate: float, before: Path,
+                        folder: Path) -> dict:
+    """The version before, health off, health on: three directors side by side, asked in turns."""
+    found: dict[str, dict[str, list[float]]] = {}
+    async with fleet(members) as made:
+        for box in made.boxes:
+            box.agent.manner = READY
+        nodes, asked = {}, {}
+        for side, checkout, operators in (
+                ("before", before, ""), ("off", HERE, ""),
+                ("on", HERE, OPERATORS.format(port=made.agent_port, interval="1s"))):
+            port, where = free_port(), folder / side
+            where.mkdir(parents=True)
+            nodes[side] = Director(checkout, where, made.config(True, port), operators)
+            asked[side] = Clients(("127.0.0.1", port), rate, hot_objects(200), SEED)
+            found[side] = {"p99": [], "cpu": []}
+        async with running(*nodes.values()):
+            for turn in range(turns):
+                for side in sorted(nodes, reverse=bool(turn % 2)):
+                    clients, node = asked[side], nodes[side]
+                    with trio.move_on_after(1 + seconds):
+                        async with trio.open_nursery() as nursery:
+                            nursery.start_soon(clients.run)
+                            await trio.sleep(1)     # connections are there by then
+                            begun, cpu, done = time.monotonic(), node.cpu_s(), len(clients.times)
+                            await trio.sleep(seconds - 0.1)
+                            used, done = node.cpu_s() - cpu, len(clients.times) - done
+                    times = [taken * 1000 for due, taken, code in clients.times if due >= begun and code == 0]
+                    found[side]["p99"].append(percentile(times, 0.99))
+                    found[side]["cpu"].append(used / done * 1e6)
+                    clients.due.clear()
+    return found
+
+
 async def cost_of_checks(members: int, seconds: float, folder: Path) -> dict:
     """CPU a check: a director without clients, checks on and off, in two processes side by side."""
     async with fleet(members) as made:
@@ -203,7 +238,7 @@
 def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="benchmarks.health", description=__doc__.splitlines()[0])
     parser.add_argument("--quick", action="store_true", help="small sizes, under 45 s")
-    parser.add_argument("--before", type=Path, help="a checkout of the version before, for part 4")
+    parser.add_argument("--before", type=Path, help="a checkout of the version before, for parts 3 and 5")
     parser.add_argument("--part", choices=PARTS, help="one part alone")
     args = parser.parse_args(argv)
     parts = (args.part,) if args.part else PARTS
@@ -231,6 +266,15 @@
                 low, high = (statistics.median(s[what][k]) for k in (0, 30))
                 found[f"stalled_{what}_ratio"] = round(high / low, 3)
             found["client_late_ms"] = round(s["late"] * 1000, 1)
+        if "before" in parts and args.before:
+            r = trio.run(beside_before, 100, 2 if args.quick else 6, 2 if args.quick else 5, 250, args.before,
+                         folder / "b")
+            print(table(["side", "p99 ms", "CPU us a request"],
+                        [[side, spread(r[side]["p99"]), spread(r[side]["cpu"])] for side in r]))
+            for side in ("off", "on"):
+                for what in ("p99", "cpu"):
+                    now, then = (statistics.median(r[k][what]) for k in (side, "before"))
+                    found[f"{side}_{what}_ratio"] = round(now / then, 3)
         if "cost" in parts:
             c = trio.run(cost_of_checks, 100 if args.quick else 1000, 3 if args.quick else 12, folder / "c")
             per_member = bytes_a_member(1000)
