--- a/rookbend/health/desk.py
+++ b/rookbend/health/desk.py
@@ -15,6 +15,7 @@
 from rookbend.core.engine import Engine
 from rookbend.core.model import Entry, RosterChange
 from rookbend.health.board import Board
+from rookbend.health.member import PASSIVE_GOOD
 from rookbend.health.model import FULL, AttemptSeen, Event, Judged, RosterHeard, Tick, Verdict
 from rookbend.interface import MemberState, Settings, Status
 
@@ -77,6 +78,9 @@
         self._tell_due()
 
     def attempt_ended(self, server: int, status: Status) -> None:
+        row = self.board.rows.get(server)
+        if row is None or (status in PASSIVE_GOOD and not row.passive and not row.passive_until):
+            return      # nearly all of them: an answer of a member that nothing is held against
         self.feed(AttemptSeen(server, status))
 
     def tick(self) -> None:
