Judge a restarted member once, ask for a verdict once, and build frames in one place

Read over once more: a member that restarted was judged before and after its order was put back, which logged a change that was none; a verdict was turned into an entry twice; a reload built whole rows for their opinions and weighed each tier again after its last member had; unchanged checks were sorted out a member at a time; a fallback for a lag of 0 that the settings can't hold; the stand-ins wrote client frames twice.

--- a/rookbend/health/board.py
+++ b/rookbend/health/board.py
@@ -17,7 +17,7 @@
 
 from rookbend.background.plan import IDLE, NORMAL, URGENT
 from rookbend.core.model import Entry
-from rookbend.health.member import Row
+from rookbend.health.member import Row, opinions_for
 from rookbend.health.model import (
     FULL,
     Action,
@@ -104,26 +104,25 @@
             else:
                 self._renew(now, row, entry)
 
-    def _add(self, now: int, entry: Entry) -> Row:
+    def _add(self, now: int, entry: Entry, before: Row | None = None) -> None:
+        """A new row. What people have ordered of the member `before` holds, whatever runs there now."""
         server = entry.member.server
         row = self.rows[server] = Row(entry, self.role_of(entry), self.policy, self.number, now)
+        if before is not None:
+            row.order, row.order_us, row.order_by = before.order, before.order_us, before.order_by
         key = entry.member.kind, entry.member.zone
         tier = self.tiers.get(key) or self.tiers.setdefault(key, Tier(*key))
         tier.rows.add(server)
         self._judge(now, row, forced=True)
-        return row
 
     def _renew(self, now: int, row: Row, entry: Entry) -> None:
         old, new = row.entry.member, entry.member
         if (new.kind, new.zone) != (old.kind, old.zone) or new.started_us > old.started_us \
                 or entry.address != row.entry.address:
             # Another process, or another place: what was seen of the old one is no evidence on this one.
-            # What people have ordered holds for the member, whatever runs there.
             self._drop(now, new.server, told=False)
-            kept = row
-            row = self._add(now, entry)
-            row.order, row.order_us, row.order_by = kept.order, kept.order_us, kept.order_by
-        elif new.state is not old.state:
+            return self._add(now, entry, row)
+        if new.state is not old.state:
             row.roster_us = now
         row.entry = entry
         self._judge(now, row, forced=True)
@@ -176,8 +175,7 @@
         """New checks and figures. What a check of the same name and kind has found is kept."""
         self.policy, self.ramps = event.policy, dict(event.policy.ramps)
         for row in self.rows.values():
-            old = row.opinions
-            fresh = Row(row.entry, row.role, event.policy, self.number, now).opinions
+            old, fresh = row.opinions, opinions_for(row.role, event.policy, self.number)
             for name, opinion in fresh.items():
                 if name in old and old[name].policy.is_agent is opinion.policy.is_agent:
                     old[name].policy = opinion.policy
@@ -185,8 +183,6 @@
             row.opinions = fresh
         for row in list(self.rows.values()):
             self._judge(now, row)
-        for tier in self.tiers.values():
-            self._weigh_tier(now, tier)
 
     def _tick(self, now: int, event: Tick) -> None:
         while self._due and self._due[0][0] <= now:
--- a/rookbend/health/desk.py
+++ b/rookbend/health/desk.py
@@ -66,10 +66,10 @@
         for server, verdict in judged.items():
             if verdict is None:
                 continue
-            entry = self.engine.entries.get(server)
-            if entry is None or self._lowers(entry, server):
+            old, new = self.engine.entries.get(server), self.effective(server)
+            if old is None or self._lowers(old, new):
                 self._pending.pop(server, None)
-                urgent.append(self.effective(server))
+                urgent.append(new)
             elif server not in self._pending:
                 self._flush_us = self._flush_us or now + GATHER_US
                 self._pending[server] = None
@@ -110,11 +110,12 @@
                 self.log(action.event, action.level, **action.fields)
         return judged
 
-    def _lowers(self, entry: Entry, server: int) -> bool:
-        """Whether the engine's member must not wait to hear of this: it loses service or weight."""
-        new = self.effective(server).member
-        return new.state is not MemberState.READY or new.weight < entry.member.weight \
-            or entry.member.state is MemberState.READY and new.started_us > entry.member.started_us
+    @staticmethod
+    def _lowers(before: Entry, after: Entry) -> bool:
+        """Whether the engine must not wait to hear of this: the member loses service or weight."""
+        old, new = before.member, after.member
+        return new.state is not MemberState.READY or new.weight < old.weight \
+            or old.state is MemberState.READY and new.started_us > old.started_us
 
     def effective(self, server: int) -> Entry | None:
         """The roster's entry with the verdict in it; None for one that the roster does not hold."""
--- a/rookbend/health/headroom.py
+++ b/rookbend/health/headroom.py
@@ -9,7 +9,8 @@
 
 from dataclasses import dataclass
 
-FULL = 100
+from rookbend.health.model import FULL
+
 COUNTS_FROM = {"lag": 0.2, "open": 0.5, "descriptors": 0.7, "memory": 0.8}
 
 
--- a/rookbend/health/member.py
+++ b/rookbend/health/member.py
@@ -97,6 +97,11 @@
         return self.streak > 0
 
 
+def opinions_for(role: str, policy: HealthPolicy, number: int) -> dict[str, Opinion]:
+    """Of the checks that a member of this role gets, with nothing heard yet."""
+    return {c.name: Opinion(c, number) for c in policy.checks if c.tier in (role, "all")}
+
+
 class Row:
     """One member: its roster entry, orders, opinions, passive count, hold and slow start."""
 
@@ -107,7 +112,7 @@
     def __init__(self, entry: Entry, role: str, policy: HealthPolicy, number: int, now: int):
         """`number` is the newest check's: nothing that began before this row counts for it."""
         self.entry, self.role, self.roster_us = entry, role, now
-        self.opinions = {c.name: Opinion(c, number) for c in policy.checks if c.tier in (role, "all")}
+        self.opinions = opinions_for(role, policy, number)
         self.order, self.order_us, self.order_by = Order.READY, 0, ""
         self.passive = 0                # attempts in a row that failed
         self.passive_since = self.passive_until = 0     # held against it from, until
--- a/rookbend/lab/fleet.py
+++ b/rookbend/lab/fleet.py
@@ -43,6 +43,15 @@
 HELD = b"x" * 2000
 
 
+def frame(kind: int, stream: int, fields: dict[str, str] | None = None, body: bytes = b"") -> bytes:
+    """A frame as the platform's clients write it; without fields where these are None."""
+    data = b""
+    if fields is not None:
+        data = bytes([len(fields)]) + b"".join(
+            bytes([len(n)]) + n.encode() + struct.pack(">H", len(v)) + v.encode() for n, v in fields.items())
+    return struct.pack(">IBI", 5 + len(data) + len(body), kind, stream) + data + body
+
+
 class Box:
     """A cache, parent or origin that holds everything."""
 
@@ -140,9 +149,7 @@
     def _request(self, stream: int, rid: int) -> bytes:
         fields = {"method": "tour-video", "rid": f"{self.random.getrandbits(32):08x}{rid:08x}",
                   "budget": "4000", "obj": self.random.choice(self.objects)}
-        data = bytes([len(fields)]) + b"".join(
-            bytes([len(n)]) + n.encode() + struct.pack(">H", len(v)) + v.encode() for n, v in fields.items())
-        return struct.pack(">IBI", 5 + len(data), 7, stream) + data
+        return frame(7, stream, fields)
 
     async def _read(self, stream: trio.SocketStream) -> None:
         data = b""
--- a/rookbend/net/checks.py
+++ b/rookbend/net/checks.py
@@ -91,13 +91,13 @@
         """New settings, which the board has heard of already. What is out of a check that is no more ends
         by itself, unheard."""
         old, self.checks = self.checks, {c.name: c for c in checks}
-        for server in self.desk.board.rows:
-            for name, check in old.items():
-                if self.checks.get(name) == check:
-                    self.checks[name] = check       # unchanged: what is out of it still counts
-                else:
-                    self._drop(server, check)
-        self.members_changed([s for s in self.desk.board.rows], [])
+        for name, check in old.items():
+            if self.checks.get(name) == check:
+                self.checks[name] = check       # unchanged: what is out of it still counts
+                continue
+            for server in self.desk.board.rows:
+                self._drop(server, check)
+        self.members_changed(list(self.desk.board.rows), [])
 
     def _drop(self, server: int, check: Check) -> None:
         key = kind_of(check), server, check.name
@@ -139,7 +139,7 @@
             heard(await self._ask(check, exchange, address, began, heard, rest_us))
         except WatchUnknown:
             self.no_watch.add(key)      # the server has no Watch: from now on its Check is called
-        if board.cadence(server, name) is not None and self.checks.get(name) is check:
+        if self.checks.get(name) is check:
             rest = rest_us() or check.interval_us
             # A twentieth either way: checks that began together don't stay together.
             self._put(key, max(self.clock.now(), began + rest - rest // 20
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -23,7 +23,7 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
-from rookbend.fronts.platform import OVERRUN_US, PlatformFront
+from rookbend.fronts.platform import PlatformFront
 from rookbend.logic import Router
 from rookbend.logs import Log
 from rookbend.net.accept import listen
@@ -255,7 +255,7 @@
         from rookbend.health.headroom import Sample
 
         limits, engine = self.config.limits, self.engine
-        lag_us = self.operators.headroom.lag_us or OVERRUN_US
+        lag_us = self.operators.headroom.lag_us
         members = [e for e in engine.entries.values() if self._is_ours(e)]
         with open("/proc/self/statm", "rb") as f:
             resident = int(f.read().split()[1]) * PAGE
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -23,7 +23,7 @@
 from rookbend.config import Config
 from rookbend.health.model import Order, Ordered
 from rookbend.lab.agents import HealthPeer, Manner, http_answer, listen_together
-from rookbend.lab.fleet import SETTINGS
+from rookbend.lab.fleet import SETTINGS, frame
 from rookbend.net.dns import open_both
 from rookbend.protocol import dns as dns_protocol
 from rookbend.service import Service
@@ -54,14 +54,6 @@
     return dict(w.split("=", 1) for w in words if "=" in w)
 
 
-def frame(kind, stream, fields=None, body=b""):
-    data = b""
-    if fields is not None:
-        data = bytes([len(fields)]) + b"".join(
-            bytes([len(n)]) + n.encode() + struct.pack(">H", len(v)) + v.encode() for n, v in fields.items())
-    return struct.pack(">IBI", 5 + len(data) + len(body), kind, stream) + data + body
-
-
 class Actor:
     """Something outside the director. What it hears goes into `heard`, one line of words at a time."""
 
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -144,6 +144,7 @@
     b.feed(Ordered(1, Order.DRAIN)).feed(RosterHeard(False, [entry(1, started=b.now)]))
     b.feed(CheckEnded(1, "page", number, Outcome.DISMISSED))
     assert b.state() == ("draining", 0, "order") and not b.board.rows[1].failing(b.now)
+    assert [x.fields["state"] for x in b.said if x.event == "member_state"] == ["down", "draining"], "said once"
 
 
 def test_panic_begins_beyond_the_limit_is_said_and_ends_after_a_hold():
