--- /dev/null
+++ b/tests/test_lab_tally.py
@@ -0,0 +1,26 @@
+"""Counts across a fleet: each life's last counters count once, dropped lines count back."""
+
+from rookbend.lab.tally import Tally, fields_of
+
+LIFE = [
+    "timestamp=t level=info event=ready director=n0",
+    "timestamp=t level=warning event=member_garbage member=c1 reason=\"an answer stopped short\"",
+    "timestamp=t level=warning event=member_garbage member=c1 reason=x dropped=4",
+    "timestamp=t level=info event=counters connects=7 attempts=10",
+    "timestamp=t level=info event=counters connects=9 attempts=12",
+]
+
+
+def test_a_lifes_last_counters_count_and_a_restart_adds_the_next():
+    tally = Tally()
+    tally.read("n0", LIFE + LIFE[:1] + ["Traceback (most recent call last):", "event=counters connects=2"])
+    tally.read("n1", ['{"event": "counters", "connects": 30, "level": "info"}'])
+    report = tally.report()
+    assert report["counters"] == {"connects": 9 + 2 + 30, "attempts": 12}
+    assert report["busiest"]["connects"] == [30, "n1"]
+    assert report["events"]["member_garbage"] == 1 + 5
+    assert report["unreadable_lines"] == 1 and report["directors"] == 2
+
+
+def test_lines_that_are_no_event_give_nothing():
+    assert fields_of("plain text") == {} and fields_of('{"a": ') == {} and fields_of('a="open') == {}
