Send writes on shared connections; only a try after a reset takes a new one

Counted over all 40 directors with a probe: the origin answered 3,266 write attempts refused and 130 ok, and 3,397 connections were opened to it against 694 to all caches. The engine marked every write fresh (core/engine.py, attempt.fresh = live.write or live.reset), so each write took a new connection that stayed 12 s idle: forty directors filled the origin's table, which refused the requests on them, and each refusal was tried at once on yet another connection.

--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -284,9 +284,10 @@
             attempt.keep, attempt.max_age_us, attempt.join = a.keep, a.max_age_us, a.join
             attempt.only_if_held, attempt.renew = a.only_if_held, a.renew
             attempt.parent_keeps_none = a.parent_keeps_none
-        # Guards what can't be repeated, or was lost so once: a connection that has been idle for a while may
-        # be reset by the very request that comes next, and whether that was read nobody can tell.
-        attempt.fresh = live.write or live.reset
+        # Guards a request that was lost once to a reset: its next try goes out on a new connection. Writes
+        # are not sent on new connections as such: each director doing so kept dozens of idle ones at the
+        # origin, whose table, shared by a fleet, turned nine writes in ten away (docs/design/fleet.md).
+        attempt.fresh = live.reset
         live.flight = attempt
         self.counters.attempts += 1
         if due < live.deadline:
