--- a/rookbend/lab/fleet.py
+++ b/rookbend/lab/fleet.py
@@ -60,6 +60,7 @@
         self.agent = HealthPeer(host)
         self.port = 0
         self.arrivals: deque[float] = deque(maxlen=KEPT)    # monotonic seconds
+        self.connections = 0                                 # accepted since it began to listen
 
     async def listen(self, nursery: trio.Nursery, port: int) -> None:
         listeners = await trio.open_tcp_listeners(port, host=self.host)
@@ -68,6 +69,7 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         data = b""
+        self.connections += 1
         try:
             async for more in stream:
                 data += more
@@ -125,8 +127,9 @@
 class Clients:
     """Open-loop reads: each is sent when it is due, whatever was answered, and timed from then."""
 
-    def __init__(self, address: tuple[str, int], rate: float, objects: list[str], seed: int):
-        self.address, self.rate, self.objects = address, rate, objects
+    def __init__(self, address: tuple[str, int], rate: float, objects: list[str], seed: int,
+                 method: str = "tour-video"):
+        self.address, self.rate, self.objects, self.method = address, rate, objects, method
         self.random = random.Random(seed)
         self.due: dict[int, float] = {}
         self.times: list[tuple[float, float, int]] = []     # (due, taken, code)
@@ -147,7 +150,7 @@
                 await stream.send_all(self._request(number, next(rids)))
 
     def _request(self, stream: int, rid: int) -> bytes:
-        fields = {"method": "tour-video", "rid": f"{self.random.getrandbits(32):08x}{rid:08x}",
+        fields = {"method": self.method, "rid": f"{self.random.getrandbits(32):08x}{rid:08x}",
                   "budget": "4000", "obj": self.random.choice(self.objects)}
         return frame(7, stream, fields)
 
@@ -238,11 +241,13 @@
             port = box.port
         self.agent_port = await listen_together([b.agent for b in self.boxes], nursery)
 
-    def config(self, probes: bool, port: int) -> dict:
+    def config(self, probes: bool, port: int, me: int = 0, directors: int = 1) -> dict:
         settings = json.loads(json.dumps(SETTINGS))
         settings["limits"]["probes"] = probes
+        settings["me"], settings["siblings"] = me, directors
+        settings["familyInfo"]["seatsByZone"] = [0, directors]
         known = {"complete": True, "members": [b.line() for b in self.boxes]}
-        return {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "7", "settings": settings,
+        return {"name": f"n{me}", "listen": f"127.0.0.1:{port}", "seed": "7", "settings": settings,
                 "coordinator": f"127.0.0.1:{self.coordinator.port}",
                 "limits": {"cores": 1.0, "memory_mb": 1024, "sockets": 8192},
                 "known": {"index": 1, "updates": [{"index": 1, "endpoints": known}]}}
