--- a/rookbend/lab/tally.py
+++ b/rookbend/lab/tally.py
@@ -45,7 +45,7 @@
         self.counters: Counter[str] = Counter()
         self.events: Counter[str] = Counter()
         self.most: dict[str, tuple[int, str]] = {}      # counter: (highest of one director, which)
-        self.lives = 0
+        self.directors = 0       # logs that held counters
         self.faults = 0          # lines that are no event: tracebacks and the like
 
     def read(self, name: str, lines) -> None:
@@ -66,15 +66,14 @@
                 mine.update(life)       # a new life: the last one's totals are final
                 life = {}
         mine.update(life)
-        if mine or life:
-            self.lives += 1
+        self.directors += bool(mine)
         self.counters.update(mine)
         for key, value in mine.items():
             if value > self.most.get(key, (-1, ""))[0]:
                 self.most[key] = (value, name)
 
     def report(self) -> dict:
-        return {"directors": self.lives, "counters": dict(sorted(self.counters.items())),
+        return {"directors": self.directors, "counters": dict(sorted(self.counters.items())),
                 "busiest": {k: list(v) for k, v in sorted(self.most.items())},
                 "events": dict(self.events.most_common()), "unreadable_lines": self.faults}
 
@@ -92,9 +91,9 @@
     if args.json:
         print(msgspec.json.encode(report).decode())
         return 0
-    print(f"{report['directors']} directors, {tally.faults} lines that are no event")
+    print(f"{report['directors']} directors, {report['unreadable_lines']} lines that are no event")
     for key, value in report["counters"].items():
-        most, who = tally.most.get(key, (0, "-"))
+        most, who = report["busiest"][key]
         print(f"  {key:16} {value:10}   most {most} ({who})")
     for event, count in report["events"].items():
         print(f"  event {event:28} {count:8}")
