--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -69,8 +69,11 @@
             "per_write": opened / max(sent, 1), "cpu_s": statistics.mean(cpu)}
 
 
-async def main(quick: bool, rev: str) -> None:
-    directors, seconds, rounds = (4, 3.0, 2) if quick else (16, 10.0, 3)
+SIZES = {"smallest": (1, 1.0, 1), "quick": (4, 3.0, 2), "full": (16, 10.0, 3)}    # directors, seconds, turns
+
+
+async def main(size: str, rev: str) -> None:
+    directors, seconds, rounds = SIZES[size]
     with tempfile.TemporaryDirectory() as tmp:
         sides = {"before": checkout(rev, Path(tmp) / "before"), "now": HERE}
         found: dict[str, list[dict]] = {side: [] for side in sides}
@@ -94,7 +97,8 @@
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(prog="python -m benchmarks.fleet", description=__doc__.splitlines()[0])
     parser.add_argument("--quick", action="store_true", help="4 directors, two turns a side (under 45 s)")
+    parser.add_argument("--smallest", action="store_true", help="the least that runs; shows nothing")
     parser.add_argument("--before", default=BEFORE, help="the version to compare with, a git revision")
     args = parser.parse_args()
-    trio.run(main, args.quick, args.before)
+    trio.run(main, "smallest" if args.smallest else "quick" if args.quick else "full", args.before)
     sys.exit(0)
--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -1,6 +1,6 @@
 """Health on loopback: how soon a box that is said to drain gets nothing new, and what hearing costs.
 
-    python -m benchmarks.health [--quick] [--before CHECKOUT]
+    python -m benchmarks.health [--quick | --smallest] [--before CHECKOUT]
 
 1. reaction: from an agent's answer `drain`, or the coordinator's event written, to the last byte of a new
    attempt that its box reads after it. Seen from outside the director, by the clock of the stand-ins.
@@ -238,11 +238,15 @@
 def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="benchmarks.health", description=__doc__.splitlines()[0])
     parser.add_argument("--quick", action="store_true", help="small sizes, under 45 s")
+    parser.add_argument("--smallest", action="store_true", help="the least that runs; shows nothing")
     parser.add_argument("--before", type=Path, help="a checkout of the version before, for parts 3 and 5")
     parser.add_argument("--part", choices=PARTS, help="one part alone")
     args = parser.parse_args(argv)
     parts = (args.part,) if args.part else PARTS
-    sizes = (100,) if args.quick else (10, 100, 1000)
+    args.quick |= args.smallest
+    sizes = (10,) if args.smallest else (100,) if args.quick else (10, 100, 1000)
+    members = sizes[0] if args.smallest else 100
+    seconds = 0.3 if args.smallest else 2
     found: dict = {"seed": SEED}
     print(machine())
     with tempfile.TemporaryDirectory() as name:
@@ -250,7 +254,8 @@
         if "reaction" in parts:
             rows = []
             for size in sizes:
-                r = trio.run(reaction, size, 5 if args.quick else 40, 250, folder / f"r{size}")
+                length = 0.3 if args.smallest else 5 if args.quick else 40
+                r = trio.run(reaction, size, length, 250, folder / f"r{size}")
                 for way, delays in r["delays"].items():
                     rows.append([size, way, len(delays), percentile(delays, 0.5),
                                  percentile(delays, 0.99), max(delays), r["after"][way],
@@ -259,7 +264,8 @@
             print(table(["members", "told by", "drains", "median ms", "p99 ms", "max ms", "attempts after",
                          "served"], rows))
         if "stalled" in parts:
-            s = trio.run(stalled, 100, 2 if args.quick else 6, 2 if args.quick else 8, 250, folder / "s")
+            s = trio.run(stalled, members, 2 if args.quick else 6, seconds if args.quick else 8, 250,
+                         folder / "s")
             print(table(["stalled %", "median ms", "p99 ms", "CPU us a request"],
                         [[k, *(spread(s[what][k]) for what in ("median", "p99", "cpu"))] for k in (0, 30)]))
             for what in ("median", "p99", "cpu"):
@@ -267,8 +273,8 @@
                 found[f"stalled_{what}_ratio"] = round(high / low, 3)
             found["client_late_ms"] = round(s["late"] * 1000, 1)
         if "before" in parts and args.before:
-            r = trio.run(beside_before, 100, 2 if args.quick else 6, 2 if args.quick else 5, 250, args.before,
-                         folder / "b")
+            r = trio.run(beside_before, members, 2 if args.quick else 6, seconds if args.quick else 5, 250,
+                         args.before, folder / "b")
             print(table(["side", "p99 ms", "CPU us a request"],
                         [[side, spread(r[side]["p99"]), spread(r[side]["cpu"])] for side in r]))
             for side in ("off", "on"):
@@ -276,7 +282,8 @@
                     now, then = (statistics.median(r[k][what]) for k in (side, "before"))
                     found[f"{side}_{what}_ratio"] = round(now / then, 3)
         if "cost" in parts:
-            c = trio.run(cost_of_checks, 100 if args.quick else 1000, 3 if args.quick else 12, folder / "c")
+            c = trio.run(cost_of_checks, members if args.quick else 1000, seconds if args.quick else 12,
+                         folder / "c")
             per_member = bytes_a_member(1000)
             print(f"{c['checks']} checks, {c['us']:.0f} us of CPU a check; {per_member:.0f} bytes a member; "
                   f"{c['resident_kb']} kB more resident")
--- a/rookbend/config.py
+++ b/rookbend/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -160,7 +161,10 @@
     )
 
 
-SETTINGS_FILE = Path(__file__).parent.parent / "deploy" / "rookbend.conf"
+ROOT = Path(__file__).parent.parent
+# A checkout has the file under deploy/, a plain installation under its prefix.
+SETTINGS_FILE = (ROOT / "deploy" if (ROOT / "pyproject.toml").exists()
+                 else Path(sys.prefix) / "etc" / "rookbend") / "rookbend.conf"
 
 
 def load_all(environ: Mapping[str, str]) -> tuple[Config, Settings]:
--- a/rookbend/lab/fleet.py
+++ b/rookbend/lab/fleet.py
@@ -168,8 +168,9 @@
 class Director:
     """A process that runs the program of a checkout."""
 
-    def __init__(self, checkout: Path, folder: Path, config: dict, operators: str = ""):
-        self.checkout, self.folder = checkout, folder
+    def __init__(self, checkout: Path, folder: Path, config: dict, operators: str = "",
+                 python: str = sys.executable):
+        self.checkout, self.folder, self.python = checkout, folder, python
         (folder / "config.json").write_text(json.dumps(config))
         (folder / "rookbend.conf").write_text(operators)
         self.log = folder / "log"
@@ -181,7 +182,7 @@
         env = {**os.environ, "NODE_CONFIG": str(self.folder / "config.json"),
                "NODE_SETTINGS": str(self.folder / "rookbend.conf")}
         with open(self.log, "wb") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "rookbend"], cwd=self.checkout, env=env,
+            self.process = subprocess.Popen([self.python, "-m", "rookbend"], cwd=self.checkout, env=env,
                                             stderr=log)
         while b"ready" not in self.log.read_bytes():
             if self.process.poll() is not None:
--- a/rookbend/net/part.py
+++ b/rookbend/net/part.py
@@ -1,10 +1,46 @@
 """What the service asks of each of its parts: a listener, a stream, a scheduler, or several that belong
-together. A part is built by what the settings ask for, and knows nothing of the others."""
+together; and what a part may see of the director it belongs to."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
 import trio
 
+if TYPE_CHECKING:
+    from rookbend.config import Config
+    from rookbend.core.clock import Clock
+    from rookbend.core.counters import Counters
+    from rookbend.core.engine import Engine
+    from rookbend.health.headroom import Sample
+    from rookbend.logs import Log
+    from rookbend.net.channel import Outbox
+    from rookbend.net.watch import Watch
+    from rookbend.settings import Settings
+
+
+@dataclass
+class Site:
+    """What a part may see of its director. The lifecycle is not in it: a part is told of the drain."""
+
+    config: Config
+    operators: Settings
+    engine: Engine
+    watch: Watch
+    clock: Clock
+    counters: Counters
+    log: Log
+    outbox: Outbox
+    most_clients: int
+    phase: Callable[[], str]            # the lifecycle's, by name
+    sample: Callable[[], Sample]        # what is measured of ourselves
+    # Figures that go up and down, by name; a part adds its own.
+    gauges: list[Callable[[], dict[str, float]]] = field(default_factory=list)
+    # What parts built before offer to those built after, by name.
+    built: dict[str, object] = field(default_factory=dict)
+
 
 class Part:
     """`descriptors` are kept back for it. All methods but `open` must not fail."""
--- a/rookbend/parts.py
+++ b/rookbend/parts.py
@@ -1,53 +1,49 @@
 """The parts that the settings ask for, one function each. What is off is not imported.
 
-A new subsystem is one entry of `OPTIONAL`: whether the settings ask for it, and the function that builds it.
+A new subsystem is one entry of `OPTIONAL`: whether the settings ask for it, and the function that
+builds it from the director's `Site`. What later entries need of it, it leaves in `site.built`.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import trio
 
-from rookbend.net.part import Part
+from rookbend.net.part import Part, Site
 from rookbend.settings import Check, Settings
 
-if TYPE_CHECKING:
-    from rookbend.service import Service
-
 
-def _dns(service: Service) -> list[Part]:
+def _dns(site: Site) -> list[Part]:
     from rookbend.fronts.dns import DnsFront
     from rookbend.net.dns import DnsServer, ResolverClient
 
-    dns, seed = service.operators.dns, int(service.config.seed, 16)
-    resolver = ResolverClient(dns.resolver, service.clock, seed)
-    front = DnsFront(service.engine, resolver, dns.zone, dns.box_name, dns.budget_us, seed)
-    service.dns = DnsServer(front, service.clock, dns.listen, service.outbox)
-    return [service.dns]
+    dns, seed = site.operators.dns, int(site.config.seed, 16)
+    resolver = ResolverClient(dns.resolver, site.clock, seed)
+    front = DnsFront(site.engine, resolver, dns.zone, dns.box_name, dns.budget_us, seed)
+    site.built["dns"] = server = DnsServer(front, site.clock, dns.listen, site.outbox)
+    return [server]
 
 
-def _balancer(service: Service) -> list[Part]:
+def _balancer(site: Site) -> list[Part]:
     from rookbend.health.headroom import Headroom
     from rookbend.health.standing import Standing, standing
     from rookbend.net.health import GrpcServer, Measuring, agent_server, http_server
 
-    s = service.operators
+    s = site.operators
     headroom = Headroom(s.headroom.step, s.headroom.rise_us, s.headroom.least)
-    most = service.front.most_clients
 
     def stand() -> Standing:
-        return standing(service.phase.value, headroom, most)
+        return standing(site.phase(), headroom, site.most_clients)
 
-    measuring = Measuring(headroom, service.sample, service.clock)
+    measuring = Measuring(headroom, site.sample, site.clock)
     parts: list[Part] = [measuring]
     for where, build in ((s.agent_server, agent_server), (s.http_server, http_server),
                          (s.grpc_server, GrpcServer)):
         if where is not None:
-            parts.append(build(where.listen, service.clock, service.outbox, stand))
+            parts.append(build(where.listen, site.clock, site.outbox, stand))
     if s.grpc_server is not None:
         measuring.on_change.append(parts[-1].changed)
-    service.headroom, service.balancer = headroom, parts[1:]
+    site.gauges.append(lambda: {"headroom_percent": headroom.weight})
+    site.built["balancer"] = parts[1:]
     return parts
 
 
@@ -82,26 +78,27 @@
 class HealthPart(Part):
     """Members' health: the board, its desk, and the checks that the settings name."""
 
-    def __init__(self, service: Service):
+    def __init__(self, site: Site):
         from rookbend.background.plan import Plan, Room
         from rookbend.health.board import Board
         from rookbend.health.desk import Desk, role_namer
         from rookbend.net.background import Runner
         from rookbend.net.checks import WATCH, CheckDriver
 
-        self.service, self.clock = service, service.clock
-        engine, b = service.engine, service.operators.background
-        board = Board(policy_of(service.operators, engine.settings), role_namer(engine.settings))
-        self.desk = Desk(engine, board, service.log)
-        self.descriptors = b.descriptors + (b.watches if self._watches(service.operators) else 0)
+        self.clock, self.rules = site.clock, site.engine.settings
+        engine, b = site.engine, site.operators.background
+        board = Board(policy_of(site.operators, self.rules), role_namer(self.rules))
+        self.desk = Desk(engine, board, site.log)
+        self.descriptors = b.descriptors + (b.watches if self._watches(site.operators) else 0)
         plan = Plan(b.rate, Room(b.running, b.descriptors), {WATCH: Room(b.watches, b.watches)},
-                    int(service.config.seed, 16))
+                    int(site.config.seed, 16))
         self.runner = Runner(plan, self.clock)
-        self.driver = CheckDriver(self.desk, self.runner, self.clock, service.operators.checks)
+        self.driver = CheckDriver(self.desk, self.runner, self.clock, site.operators.checks)
         self._due_earlier = trio.Event()
         self.desk.on_due = lambda due: self._due_earlier.set()
-        service.watch.roster_changed = self.desk.roster_changed
-        if service.operators.health.passive_fall:
+        site.watch.roster_changed = self.desk.roster_changed
+        site.gauges.append(lambda: {"background_jobs": len(plan.jobs), "background_running": plan.running})
+        if site.operators.health.passive_fall:
             engine.on_attempt_end = self.desk.attempt_ended
 
     @staticmethod
@@ -125,21 +122,21 @@
         from rookbend.health.model import PolicyChanged
         if settings.health is None:
             return
-        self.desk.feed(PolicyChanged(policy_of(settings, self.service.engine.settings)))
+        self.desk.feed(PolicyChanged(policy_of(settings, self.rules)))
         self.driver.replace(settings.checks)
 
 
-def _health(service: Service) -> list[Part]:
-    service.health = HealthPart(service)
-    return [service.health]
+def _health(site: Site) -> list[Part]:
+    site.built["health"] = health = HealthPart(site)
+    return [health]
 
 
-def _admin(service: Service) -> list[Part]:
+def _admin(site: Site) -> list[Part]:
     from rookbend.health.model import Order, Ordered
     from rookbend.net.small import SmallServer, serve_http
     from rookbend.protocol.admin import AdminDesk
 
-    admin, health = service.operators.admin, service.health
+    admin, health = site.operators.admin, site.built.get("health")
     tables, order = {}, None
     if health is not None:
         def order(name: str, order: Order, by: str) -> bool:
@@ -148,18 +145,22 @@
                 health.desk.feed(Ordered(server, order, by))
             return server is not None
 
-        tables["/members"] = lambda: {"director": service.config.name, "members": health.desk.table()}
+        tables["/members"] = lambda: {"director": site.config.name, "members": health.desk.table()}
         tables["/background"] = lambda: {
             "jobs": len(health.runner.plan.jobs), "running": health.runner.plan.running,
             "started": health.runner.plan.started, "overtaken": health.desk.board.overtaken}
     metrics = None
     if admin.metrics:
         from rookbend.net.metrics import Figures
-        metrics = Figures(service.counters, health.desk.table if health else None, service.gauges).text
+
+        def gauges() -> dict[str, float]:
+            return {name: value for part in site.gauges for name, value in part().items()}
+
+        metrics = Figures(site.counters, health.desk.table if health else None, gauges).text
     desk = AdminDesk(tables, order, metrics)
-    service.admin = SmallServer(admin.listen, service.clock, service.outbox,
-                                lambda channel: serve_http(channel, desk.answer))
-    return [service.admin]
+    site.built["admin"] = server = SmallServer(
+        admin.listen, site.clock, site.outbox, lambda channel: serve_http(channel, desk.answer))
+    return [server]
 
 
 OPTIONAL = (
@@ -170,5 +171,5 @@
 )
 
 
-def optional(service: Service) -> list[Part]:
-    return [part for wanted, build in OPTIONAL if wanted(service.operators) for part in build(service)]
+def optional(site: Site) -> list[Part]:
+    return [part for wanted, build in OPTIONAL if wanted(site.operators) for part in build(site)]
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -29,7 +29,7 @@
 from rookbend.net.accept import listen
 from rookbend.net.channel import Outbox
 from rookbend.net.front import FrontServer
-from rookbend.net.part import Part
+from rookbend.net.part import Part, Site
 from rookbend.net.peers import PeerSocket
 from rookbend.net.pool import Pool
 from rookbend.net.watch import Watch
@@ -37,7 +37,7 @@
 from rookbend.settings import Fault, Settings
 
 if TYPE_CHECKING:
-    from rookbend.health.headroom import Headroom, Sample
+    from rookbend.health.headroom import Sample
 
 LATECOMERS_US = 700_000     # after SIGTERM new requests still arrive for this long, and are served
 SETTLED_US = 3_500_000      # and by then everything has its answer: SIGKILL may follow 0.2 s later
@@ -98,11 +98,13 @@
         self.address: tuple[str, int] | None = None     # where clients connect, once it listens
         self.ready = trio.Event()
         self.pool: Pool | None = None
-        # Parts that others look at, where the settings ask for them.
-        self.dns = self.health = self.admin = None
-        self.headroom: Headroom | None = None
-        self.balancer: list[Part] = []
-        self.parts: list[Part] = parts.optional(self)
+        self.site = Site(
+            config, self.operators, self.engine, self.watch, self.clock, self.counters, self.log, self.outbox,
+            self.front.most_clients, lambda: self.phase.value, self.sample, [self.gauges])
+        self.parts: list[Part] = parts.optional(self.site)
+        built = self.site.built
+        self.dns, self.health, self.admin = built.get("dns"), built.get("health"), built.get("admin")
+        self.balancer: list[Part] = built.get("balancer", [])
         self._stopping = trio.Event()
         self._timer_due_earlier = trio.Event()
 
@@ -271,15 +273,9 @@
 
     def gauges(self) -> dict[str, float]:
         """Figures that go up and down, for the operators' listener."""
-        found = {"loop_lag_seconds": self.engine.lag_us / 1e6, "open_requests": self.engine.open_requests,
-                 "member_connections": self.pool.connections if self.pool else 0,
-                 "clients_open": len(self.front.open)}
-        if self.headroom is not None:
-            found["headroom_percent"] = self.headroom.weight
-        if self.health is not None:
-            plan = self.health.runner.plan
-            found.update(background_jobs=len(plan.jobs), background_running=plan.running)
-        return found
+        return {"loop_lag_seconds": self.engine.lag_us / 1e6, "open_requests": self.engine.open_requests,
+                "member_connections": self.pool.connections if self.pool else 0,
+                "clients_open": len(self.front.open)}
 
 
 async def serve(config: Config, operators: Settings,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -120,3 +120,8 @@
             f"trio.run(main); print([m for m in {off!r} if m in sys.modules])")
     done = subprocess.run([sys.executable, "-c", code, json.dumps(GOOD)], capture_output=True, text=True, check=True)
     assert done.stdout == "[]\n"
+
+
+def test_the_parts_do_not_know_the_service(tmp_path):
+    asked = "import sys, rookbend.parts; assert 'rookbend.service' not in sys.modules"
+    subprocess.run([sys.executable, "-c", asked], check=True)
