A stage of real processes: directors, relays between them, faults, a record fed to the checker

Need: no test started two directors, so nothing showed how the processes behave together when parts fail.

Change: rookbend/lab/stage/: directors as processes (killed with the stage by PDEATHSIG, Unix clock set by a module that Python loads, log lines awaited), TCP and UDP relays a directed pair (silent, reset, delay, loss, double, reorder), caches, parents and an origin that know cold, full and fallen, a coordinator with a stream a director, clients behind a front that notices a death late, one record on one clock for lab/rules.py. The failures' language knows power, cut-between, freeze, clock and disk.

--- /dev/null
+++ b/rookbend/lab/stage/clients.py
@@ -0,0 +1,269 @@
+"""Clients behind a front that admits only ready directors and notices a death seconds late.
+
+Arrivals are open-loop: each request is sent when it is due, whatever became of those before. Objects are
+wanted by a Zipf law. A client that is refused comes again after the time it was told, one whose connection
+breaks asks another director; a retry has a new id, as the protocol has it, and belongs to its first try.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+import trio
+
+from rookbend.lab.fleet import frame
+from rookbend.lab.rules import Answered, Asked, Left
+from rookbend.lab.stage.boxes import digest, group_of
+from rookbend.lab.stage.record import Record, now_us
+from rookbend.lab.worth import ClassWorth, Ended, earned
+
+GONE = OSError, trio.BrokenResourceError, trio.ClosedResourceError
+VERDICTS = {0: "served", 14: "refused", 2: "failed"}
+CONNECTIONS = 4             # of the front to one director
+STREAMS = 32                # open requests on one, the protocol's bound
+TRIES = 3
+LEAST_BACKOFF_S = 0.05
+PAUSE_S = 0.05              # between two calls of the front to a director that is not there
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A class of requests: its worth, its deadline, its share of the arrivals."""
+
+    worth: ClassWorth
+    deadline_us: int
+    share: float
+    write: bool = False
+
+
+KINDS = (
+    Kind(ClassWorth("submit-app", 8.0, 1_000_000, 0.0, 0.5), 3_000_000, 0.08, True),
+    Kind(ClassWorth("page-image", 1.0, 600_000, 2.0, 0.4), 2_000_000, 0.62),
+    Kind(ClassWorth("tour-video", 2.0, 900_000, 2.0, 0.4), 4_000_000, 0.30),
+)
+
+
+@dataclass(slots=True)
+class Wish:
+    """What a client wants, over all its tries."""
+
+    kind: int
+    key: str
+    part: int
+    first_us: int
+    tries: int = 0
+    verdicts: list[str] = field(default_factory=list)
+    done_us: int = 0
+
+
+class Line:
+    """One connection of the front to a director."""
+
+    def __init__(self, stream: trio.SocketStream):
+        self.stream, self.open = stream, {}         # stream number: (rid, wish)
+        self.last = 0
+        self.queue: deque[bytes] = deque()
+        self.wanted = trio.Event()
+
+    def write(self, data: bytes) -> None:
+        self.queue.append(data)
+        self.wanted.set()
+
+
+class Target:
+    """A director as the front sees it."""
+
+    def __init__(self, name: str, address: tuple[str, int]):
+        self.name, self.address = name, address
+        self.admitted, self.lines = False, []
+
+
+class Front:
+    def __init__(self, record: Record, seed: int, rate: float, objects: int = 400, notice_s: float = 2.0,
+                 kinds: tuple[Kind, ...] = KINDS):
+        self.record, self.rate, self.kinds, self.notice_s = record, rate, kinds, notice_s
+        self.random = random.Random(f"{seed} clients")
+        self.names = [f"{self.random.getrandbits(64):016x}" for _ in range(objects)]
+        weights = [1 / (n + 1) for n in range(objects)]
+        total = sum(weights)
+        self.weights = [w / total for w in weights]
+        self.targets: dict[str, Target] = {}
+        self.wishes: list[Wish] = []
+        self.late_s = 0.0           # the most that a request was sent late: the lab's own lateness
+        self.unsent = 0             # wishes for which no director was admitted
+        self.changed = trio.Event()     # something was answered, admitted or lost
+        self._rid = 0
+        self._retries: trio.Nursery | None = None
+        self.running = trio.CancelScope()
+
+    def add(self, name: str, address: tuple[str, int], nursery: trio.Nursery) -> None:
+        target = self.targets[name] = Target(name, address)
+        nursery.start_soon(self._admit, target)
+
+    def _tell(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    # Admission
+
+    async def _admit(self, target: Target) -> None:
+        """Asks a director until it says ready; then holds connections to it until they break."""
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(*target.address)
+                async with stream:
+                    await stream.send_all(frame(1, 1, {}))
+                    data = await stream.receive_some(4096)
+                    if len(data) < 10 or data[9] != 0:
+                        raise trio.BrokenResourceError("not ready")
+                target.admitted = True
+                self.record.note("admitted", target.name)
+                self._tell()
+                async with trio.open_nursery() as nursery:
+                    for _ in range(CONNECTIONS):
+                        nursery.start_soon(self._hold, target)
+            except* GONE:
+                pass
+            if target.admitted:
+                # The front goes on choosing it until it notices.
+                self.record.note("lost", target.name)
+                await trio.sleep(self.notice_s)
+                target.admitted = False
+            await trio.sleep(PAUSE_S)
+
+    async def _hold(self, target: Target) -> None:
+        stream = await trio.open_tcp_stream(*target.address)
+        line = Line(stream)
+        target.lines.append(line)
+        try:
+            async with stream, trio.open_nursery() as nursery:
+                nursery.start_soon(self._write, line)
+                await self._read(line)
+                nursery.cancel_scope.cancel()
+        except* GONE:
+            pass
+        finally:
+            target.lines.remove(line)
+            for rid, wish in line.open.values():
+                # The process, or the way to it, has gone: that it left them unanswered is no breach.
+                self.record.see(Left(now_us(), rid))
+                wish.verdicts.append("lost")
+                self._again(wish, 0.1)
+            line.open.clear()
+            self._tell()
+
+    async def _write(self, line: Line) -> None:
+        while True:
+            while line.queue:
+                await line.stream.send_all(line.queue.popleft())
+            line.wanted = trio.Event()
+            await line.wanted.wait()
+
+    async def _read(self, line: Line) -> None:
+        data = b""
+        async for more in line.stream:
+            data += more
+            while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
+                self._take(line, data[4:4 + size])
+                data = data[4 + size:]
+
+    def _take(self, line: Line, data: bytes) -> None:
+        if data[0] != 8:
+            return      # 3: no new request here; the connection ends by itself
+        stream, verdict = int.from_bytes(data[1:5], "big"), VERDICTS.get(data[5], "failed")
+        rid, wish = line.open.pop(stream, ("", None))
+        fields, at = {}, 7
+        for _ in range(data[6]):
+            n = at + 1 + data[at]
+            v = n + 2 + int.from_bytes(data[n:n + 2], "big")
+            fields[data[at + 1:n].decode()] = data[n + 2:v].decode()
+            at = v
+        body = data[at:]
+        self.record.see(Answered(now_us(), rid or f"stream {stream}", verdict, digest(body) if body else ""))
+        self.record.note("answer", verdict)
+        if wish is None:
+            return
+        wish.verdicts.append(verdict)
+        if verdict == "served":
+            wish.done_us = now_us()
+        elif verdict == "refused":
+            self._again(wish, int(fields.get("backoff", 0)) / 1000)
+        self._tell()
+
+    # Wishes
+
+    def _again(self, wish: Wish, after_s: float) -> None:
+        if wish.tries < TRIES and self._retries is not None and not self.running.cancel_called:
+            self._retries.start_soon(self._retry, wish, max(after_s, LEAST_BACKOFF_S))
+
+    async def _retry(self, wish: Wish, after_s: float) -> None:
+        await trio.sleep(after_s)
+        self._send(wish)
+
+    def _send(self, wish: Wish) -> None:
+        kind = self.kinds[wish.kind]
+        wish.tries += 1
+        admitted = [t for t in self.targets.values() if t.admitted]
+        if not admitted:
+            self.unsent += 1
+            return self._again(wish, 0.5)
+        target = self.random.choice(admitted)
+        lines = [line for line in target.lines if len(line.open) < STREAMS]
+        if not lines:
+            wish.verdicts.append("lost")        # dead and not noticed, or full
+            return self._again(wish, 0.5)
+        line = min(lines, key=lambda held: len(held.open))
+        self._rid += 1
+        line.last += 1
+        rid = f"{self.random.getrandbits(32):08x}{self._rid:08x}"
+        fields = {"method": kind.worth.name, "rid": rid, "budget": str(kind.deadline_us // 1000),
+                  "obj": wish.key, "chunk": str(wish.part), "tag": str(group_of(wish.key))}
+        if wish.tries > 1:
+            fields["again"] = "1"
+        line.open[line.last] = rid, wish
+        now = now_us()
+        self.record.see(Asked(now, rid, target.name, kind.write, now + kind.deadline_us,
+                              (wish.key, wish.part), group_of(wish.key)))
+        line.write(frame(7, line.last, fields, b"form" if kind.write else b""))
+
+    async def run(self) -> None:
+        """Sends wishes at the rate until `running` is cancelled."""
+        due = trio.current_time()
+        shares = [k.share for k in self.kinds]
+        with self.running:
+            async with trio.open_nursery() as self._retries:
+                await self._arrive(due, shares)
+
+    async def _arrive(self, due: float, shares: list[float]) -> None:
+        while True:
+            due += self.random.expovariate(self.rate)
+            await trio.sleep_until(due)
+            self.late_s = max(self.late_s, trio.current_time() - due)
+            kind = self.random.choices(range(len(self.kinds)), shares)[0]
+            if self.kinds[kind].write:
+                key = f"{self.random.getrandbits(64):016x}"     # every submission is one of its own
+            else:
+                key = self.random.choices(self.names, self.weights)[0]
+            part = self.random.randrange(4) if self.kinds[kind].worth.name == "tour-video" else 0
+            wish = Wish(kind, key, part, now_us())
+            self.wishes.append(wish)
+            self._send(wish)
+
+    # What came of them
+
+    def ended(self, since_us: int = 0, until_us: int = 1 << 62) -> list[Ended]:
+        return [Ended(w.first_us, w.kind, w.done_us or None) for w in self.wishes
+                if since_us <= w.first_us < until_us]
+
+    def by_second(self, began_us: int) -> dict[int, tuple[float, float]]:
+        """Worth earned and asked for, by the second in which it was first asked."""
+        out: dict[int, tuple[float, float]] = {}
+        for e in self.ended(began_us):
+            second = (e.sent_us - began_us) // 1_000_000
+            got, asked = out.get(second, (0.0, 0.0))
+            worth = self.kinds[e.cls].worth
+            out[second] = got + earned(worth, e), asked + worth.worth
+        return out
+
--- /dev/null
+++ b/rookbend/lab/stage/coordinator.py
@@ -0,0 +1,147 @@
+"""The coordinator's stand-in: numbered events, a stream a director, and what it says at a director's start.
+
+Each director calls at a listener of its own, by its relay, since the addresses in the list are that
+director's relays. While it is away, streams have ended and calls are reset.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import trio
+
+from rookbend.lab.rules import PurgeTold, RosterTold, Told
+from rookbend.lab.stage.boxes import ROLES, Box, World
+from rookbend.lab.stage.record import now_us
+from rookbend.lab.stage.relay import reset
+
+PHASES = {"SERVING": Told.SERVING, "DRAINING": Told.DRAINING, "DELETED": Told.GONE}
+
+
+class Coordinator:
+    def __init__(self, world: World, address_of: Callable[[str, str], str]):
+        """`address_of(director, member)` is where that director reaches that member."""
+        self.world, self.record, self.address_of = world, world.record, address_of
+        self.index, self.revision = 0, 0
+        self.events: list[tuple[int, dict]] = []        # the worded event, without addresses
+        self.phases: dict[str, str] = {}
+        self.purges: list[tuple[int, dict]] = []
+        self.away = False
+        self.calls: dict[str, int] = {}
+        self._changed = trio.Event()
+        self._streams: dict[str, trio.SocketStream] = {}
+
+    async def listen(self, nursery: trio.Nursery, director: str, host: str) -> tuple[str, int]:
+        listeners = await trio.open_tcp_listeners(0, host=host)
+        nursery.start_soon(trio.serve_listeners, lambda s: self._serve(director, s), listeners)
+        return listeners[0].socket.getsockname()[:2]
+
+    # What it has to tell
+
+    def _add(self, event: dict) -> None:
+        self.index += 1
+        self.events.append((self.index, event))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def tell_members(self, *names: str) -> None:
+        """What has changed of these."""
+        self.revision += 1
+        lines = []
+        for name in names:
+            box = self.world.members[name]
+            self.phases[name] = box.phase
+            lines.append(self._line(box))
+        self._add({"endpoints": {"revision": self.revision, "complete": False, "members": lines}})
+
+    def purge(self, *, key: str = "", group: int = -1) -> int:
+        """Voids an object or a group, now; the Unix microsecond of it."""
+        made = now_us() // 1000 * 1000
+        if key:
+            self.world.purged_objects[key] = made
+            event = {"evict": {"ref": key, "unix_ms": made // 1000}}
+        else:
+            self.world.purged_groups[group] = made
+            event = {"evict": {"shard": group, "unix_ms": made // 1000}}
+        self._add(event)
+        self.purges.append((made, event))
+        return made
+
+    def _line(self, box: Box) -> dict:
+        return {"id": box.name, "locality": box.zone, "flavor": ROLES[box.role],
+                "phase": self.phases[box.name], "size": box.make.capacity,
+                "up_since_ms": box.up_since_us // 1000}
+
+    def _for(self, director: str, event: dict) -> dict:
+        if "endpoints" not in event:
+            return event
+        told = event["endpoints"]
+        members = [{**m, "host_port": self.address_of(director, m["id"])} for m in told["members"]]
+        return {"endpoints": {**told, "members": members}}
+
+    def known(self, director: str, purge_life_us: int) -> dict:
+        """What the configuration of a director that starts now holds: the list, and the last purges."""
+        for box in self.world.members.values():
+            self.phases.setdefault(box.name, box.phase)
+        lines = [self._line(b) for b in self.world.members.values()]
+        whole = {"endpoints": {"revision": self.revision, "complete": True, "members": lines}}
+        recent = [event for at, event in self.purges if at > now_us() - purge_life_us]
+        self.record_told(director, whole)
+        for event in recent:
+            self.record_told(director, event)
+        return {"index": self.index, "updates": [
+            {"index": 0, **self._for(director, event)} for event in (whole, *recent)]}
+
+    def record_told(self, director: str, event: dict) -> None:
+        """From here on the event binds that director."""
+        at = now_us()
+        for m in event.get("endpoints", {}).get("members", ()):
+            self.record.see(RosterTold(at, director, m["id"], PHASES[m["phase"]]))
+        if (e := event.get("evict")) is not None:
+            self.record.see(
+                PurgeTold(at, director, e["unix_ms"] * 1000, e.get("ref", ""), e.get("shard", -1)))
+
+    # Streams
+
+    def go(self) -> None:
+        """It vanishes: streams are reset, calls are too until it is `back`."""
+        self.away = True
+        self.record.note("fault", "coordinator", "away")
+        for stream in list(self._streams.values()):
+            reset(stream)
+        self._streams.clear()
+
+    def back(self) -> None:
+        self.away = False
+        self.record.note("fault", "coordinator", "back")
+
+    async def _serve(self, director: str, stream: trio.SocketStream) -> None:
+        self.calls[director] = self.calls.get(director, 0) + 1
+        self.record.note("coordinator call", director)
+        if self.away:
+            return reset(stream)
+        try:
+            head = (await stream.receive_some(4096)).decode("ascii", "replace").lower()
+            last = next((int(line.split(":")[1]) for line in head.split("\r\n")
+                         if line.startswith("last-event-id:")), 0)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n")
+            self._streams[director] = stream
+            while True:
+                due = [(i, e) for i, e in self.events if i > last]
+                for index, event in due:
+                    data = json.dumps({"index": index, **self._for(director, event)})
+                    await stream.send_all(f"id: {index}\ndata: {data}\n\n".encode())
+                    self.record_told(director, event)
+                    last = index
+                changed = self._changed
+                if not due:
+                    with trio.move_on_after(1.0):
+                        await changed.wait()
+                        continue
+                    await stream.send_all(b":\n")
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            if self._streams.get(director) is stream:
+                del self._streams[director]
--- /dev/null
+++ b/rookbend/lab/stage/process.py
@@ -0,0 +1,137 @@
+"""A director as a process of its own: started, killed, stopped, continued; what it says on standard error.
+
+It is started as `run` in deploy/balancer.toml starts it, `python -m rookbend`, with its own configuration,
+settings and folders. Nothing of the stage is in the process but a module that Python loads at its start
+(`shim/`), which puts the Unix clock that the program reads under the stage's control.
+
+A process never outlives its stage: the kernel is asked to kill it when the thread that started it dies
+(prctl(2), PR_SET_PDEATHSIG).
+"""
+
+from __future__ import annotations
+
+import ctypes
+import json
+import mmap
+import os
+import signal
+import struct
+import sys
+from pathlib import Path
+
+import trio
+
+from rookbend.lab.stage.record import Record
+
+SHIM = Path(__file__).parent / "shim"
+CHECKOUT = Path(__file__).parent.parent.parent.parent
+PR_SET_PDEATHSIG = 1
+CLOCK = struct.Struct("=dd")        # seconds ahead, rate less one
+HANG_S = 60.0                       # no wait of the stage ends by it but one that would never end
+LIBC = ctypes.CDLL(None)
+
+
+class Hung(AssertionError):
+    """What was waited for never came."""
+
+
+def die_with_parent() -> None:
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def fields_of(line: str) -> dict:
+    """A JSON log line; one that is none (a traceback) is the event `raw`."""
+    try:
+        found = json.loads(line)
+        return found if isinstance(found, dict) else {"event": "raw", "text": line}
+    except ValueError:
+        return {"event": "raw", "text": line}
+
+
+class Node:
+    """`lives` counts its starts. Log lines are kept by life."""
+
+    def __init__(self, name: str, folder: Path, record: Record, checkout: Path = CHECKOUT):
+        self.name, self.folder, self.record, self.checkout = name, folder, record, checkout
+        self.config_file, self.settings_file = folder / "config.json", folder / "rookbend.conf"
+        self.process: trio.Process | None = None
+        self.lives = 0
+        self.lines: list[list[dict]] = []
+        self.changed = trio.Event()
+        folder.mkdir(parents=True, exist_ok=True)
+        self._clock_file = folder / "clock"
+        self._clock_file.write_bytes(CLOCK.pack(0.0, 0.0))
+        with open(self._clock_file, "r+b") as f:
+            self._clock = mmap.mmap(f.fileno(), CLOCK.size)
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def set_clock(self, ahead_s: float = 0.0, rate: float = 1.0) -> None:
+        """From now on its Unix clock shows the true time and so much more, and runs at that rate."""
+        self._clock[:] = CLOCK.pack(ahead_s, rate - 1.0)
+        self.record.note("fault", self.name, f"clock {ahead_s:+g}s rate {rate:g}")
+
+    async def start(self, nursery: trio.Nursery, config: dict, operators: str) -> None:
+        assert not self.running, f"{self.name} runs already"
+        self.config_file.write_text(json.dumps(config))
+        self.settings_file.write_text(operators)
+        env = {**os.environ, "NODE_CONFIG": str(self.config_file), "NODE_SETTINGS": str(self.settings_file),
+               "ROOKBEND_STAGE": str(self.folder),
+               "PYTHONPATH": os.pathsep.join(filter(None, (str(SHIM), os.environ.get("PYTHONPATH"))))}
+        self.process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "rookbend"], cwd=self.checkout, env=env, stdin=None,
+            stderr=-1, preexec_fn=die_with_parent)      # -1: subprocess.PIPE
+        self.lives += 1
+        self.lines.append([])
+        self.record.note("start", self.name, f"life {self.lives}")
+        nursery.start_soon(self._read, self.process, self.lines[-1])
+
+    async def _read(self, process: trio.Process, lines: list[dict]) -> None:
+        data = b""
+        with open(self.folder / "log", "ab") as log:
+            async for more in process.stderr:
+                log.write(more)
+                log.flush()
+                *whole, data = (data + more).split(b"\n")
+                lines += [fields_of(line.decode("utf-8", "replace")) for line in whole]
+                self._tell()
+        await process.wait()
+        self.record.note("end", self.name, f"exit {process.returncode}")
+        self._tell()
+
+    def _tell(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def heard(self, event: str, **fields) -> list[dict]:
+        """Lines of this life with that event and those fields."""
+        return [line for line in (self.lines[-1] if self.lines else ())
+                if line.get("event") == event and all(line.get(k) == v for k, v in fields.items())]
+
+    async def said(self, event: str, **fields) -> dict:
+        """Waits for a log line of this life. Raises `Hung` where the process ends without it."""
+        with trio.move_on_after(HANG_S):
+            while not (found := self.heard(event, **fields)):
+                if not self.running:
+                    break
+                await self.changed.wait()
+            else:
+                return found[0]
+        last = "\n".join(map(str, self.lines[-1][-20:])) if self.lines else ""
+        raise Hung(f"{self.name} did not say {event} {fields or ''}; its last lines:\n{last}")
+
+    async def ended(self) -> int:
+        """Waits for its end; the exit code, negative for a signal."""
+        with trio.move_on_after(HANG_S):
+            return await self.process.wait()
+        raise Hung(f"{self.name} does not end")
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.running:
+            self.record.note("fault", self.name, number.name)
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
--- /dev/null
+++ b/rookbend/lab/stage/record.py
@@ -0,0 +1,59 @@
+"""What crossed the relays, every start and end, on one clock: the stage's record.
+
+The rules' checker is fed as things are seen; what measurements and tests ask besides is kept as rows. No
+director's word goes in here. Rows are bounded (`KEPT`); counts are not rows and lose nothing.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter, deque
+
+from rookbend.lab.rules import Breach, Checker, Limits, Seen
+
+KEPT = 200_000
+
+
+def now_us() -> int:
+    """Unix microseconds of the stage, whose clock no fault touches."""
+    return time.time_ns() // 1000
+
+
+class Record:
+    def __init__(self, limits: Limits | None = None):
+        self.checker = Checker(limits)
+        self.rows: deque[tuple[int, str, str, str]] = deque(maxlen=KEPT)    # (at, what, who, more)
+        self.counts: Counter[tuple[str, str]] = Counter()                   # (what, who)
+        self.began_us = now_us()
+
+    def see(self, event: Seen) -> None:
+        self.checker.see(event)
+
+    def note(self, what: str, who: str, more: str = "") -> None:
+        self.rows.append((now_us(), what, who, more))
+        self.counts[what, who] += 1
+
+    def count(self, what: str) -> int:
+        return sum(n for (kind, _), n in self.counts.items() if kind == what)
+
+    def times(self, what: str, who: str | None = None) -> list[int]:
+        return [at for at, kind, name, _ in self.rows if kind == what and who in (None, name)]
+
+    def peak(self, what: str, window_us: int) -> int:
+        """The most rows of a kind within any window of that length."""
+        times, most, low = self.times(what), 0, 0
+        for high, at in enumerate(times):
+            while times[low] <= at - window_us:
+                low += 1
+            most = max(most, high - low + 1)
+        return most
+
+    def breaches(self) -> list[Breach]:
+        self.checker.close(now_us())
+        return self.checker.breaches
+
+    def story(self) -> str:
+        """Starts, ends and faults in order, for a failed run: seconds since the stage began."""
+        told = ("start", "end", "fault", "fall", "admitted", "lost")
+        return "\n".join(f"{(at - self.began_us) / 1e6:8.3f} {what:9} {who} {more}".rstrip()
+                         for at, what, who, more in self.rows if what in told)
--- /dev/null
+++ b/rookbend/lab/stage/shim/sitecustomize.py
@@ -0,0 +1,26 @@
+"""Loaded by Python itself at the start of a process of the stage: its Unix clock is the stage's to set.
+
+`ROOKBEND_STAGE` names the folder; `clock` in it holds two doubles, seconds ahead and rate less one, which the
+stage changes while the process runs. The program is not changed: it reads `time.time`, as ever.
+"""
+
+import mmap
+import os
+import struct
+import time
+
+_folder = os.environ.get("ROOKBEND_STAGE")
+if _folder and os.path.exists(os.path.join(_folder, "clock")):
+    with open(os.path.join(_folder, "clock"), "rb") as _file:
+        _held = mmap.mmap(_file.fileno(), 16, prot=mmap.PROT_READ)
+    _unpack, _true = struct.Struct("=dd").unpack_from, time.time
+    _since = [_true(), 0.0, 0.0]        # true time, seconds ahead there, the setting that was in force
+
+    def _now():
+        true = _true()
+        ahead, rate = _unpack(_held)
+        if (ahead, rate) != (_since[1], _since[2]):
+            _since[:] = true, ahead, rate
+        return true + ahead + (true - _since[0]) * rate
+
+    time.time = _now
--- a/rookbend/lab/timeline.py
+++ b/rookbend/lab/timeline.py
@@ -24,6 +24,12 @@
     hup         a director gets SIGHUP
     read-slowly clients take `share` of what they could
     flood       `share` more clients that ask without an end
+    power       the machine loses its power: the process ends in that instant, and what its disk had not
+                synced is gone; it is started again at the end
+    cut-between what the first of a pair (`n0>n1`) says to the second is lost; both ways need both pairs
+    freeze      a director stands still (SIGSTOP) and goes on (SIGCONT)
+    clock       a director's Unix clock shows `by` more, or less with `back`; at the end the true time again
+    disk        a director's disk is `says`: full, or read-only
 
 Two failures of one kind may not hold one part at once: the end of the first would end the second.
 """
@@ -41,21 +47,24 @@
 from rookbend.settings.values import Form
 
 MEMBER, ZONE, COORDINATOR, DIRECTOR, CLIENTS = "member", "zone", "coordinator", "director", "clients"
+MACHINE, PAIR = "machine", "pair"       # a director or a member; two of them, in order
 # kind: (what its parts are, the further directives it needs)
 KINDS = {
     "kill": (MEMBER, ()), "vanish": (MEMBER, ()), "pause": (MEMBER, ()), "slow": (MEMBER, ("share",)),
     "lose": (ZONE, ()), "late": (MEMBER, ("by",)), "lie": (MEMBER, ("says",)), "garble": (MEMBER, ("share",)),
     "cut": (COORDINATOR, ("by",)), "double": (COORDINATOR, ()), "drop": (DIRECTOR, ("share",)),
     "term": (DIRECTOR, ()), "hup": (DIRECTOR, ()), "read-slowly": (CLIENTS, ("share",)),
-    "flood": (CLIENTS, ("share",)),
+    "flood": (CLIENTS, ("share",)), "power": (MACHINE, ()), "cut-between": (PAIR, ()),
+    "freeze": (DIRECTOR, ()), "clock": (DIRECTOR, ("by",)), "disk": (DIRECTOR, ("says",)),
 }
-FURTHER = {"share": "share", "by": "by_us", "says": "says", "reset": "reset"}
+FURTHER = {"share": "share", "by": "by_us", "says": "says", "reset": "reset", "back": "back"}
+MAY = {"lose": "reset", "clock": "back"}        # directives that a kind may have
 HOUR = v.TIME_UNITS["h"]
 FORMS = {
     "kind": Form(v.one_of(*KINDS), required=True), "part": Form(v.text(1, 255), many=True),
     "at": Form(v.time(0, HOUR), required=True), "for": Form(v.time(0, HOUR)),
     "seed": Form(v.whole(0, 2**63)), "share": Form(v.share()), "by": Form(v.time(1_000, HOUR)),
-    "says": Form(v.text(1)), "reset": Form(v.yes_or_no),
+    "says": Form(v.text(1)), "reset": Form(v.yes_or_no), "back": Form(v.yes_or_no),
 }
 
 
@@ -70,6 +79,7 @@
     by_us: int = 0
     says: str = ""
     reset: bool = False
+    back: bool = False
     place: Place = Place("", 0)
 
     @property
@@ -132,7 +142,7 @@
     for name in FURTHER:
         if name in needed and name not in given:
             raise Fault(section.place, f"{fields['kind']} needs {name}")
-        if name in given and name not in needed and not (name == "reset" and fields["kind"] == "lose"):
+        if name in given and name not in needed and MAY.get(fields["kind"]) != name:
             raise Fault(given[name].place, f"{name} means nothing to {fields['kind']}")
     return Failure(**fields)
 
@@ -199,7 +209,6 @@
         if f.says:
             quoted = f.says.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
             rows.append(("says", f'"{quoted}"'))
-        if f.reset:
-            rows.append(("reset", "yes"))
+        rows += [(name, "yes") for name in ("reset", "back") if getattr(f, name)]
         out += [f"    {name:8}{value}" for name, value in rows]
     return "\n".join(out) + "\n"
--- a/tests/test_lab_timeline.py
+++ b/tests/test_lab_timeline.py
@@ -6,7 +6,7 @@
 from rookbend.settings import Fault
 
 WORLD = {"member": [f"c{i}" for i in range(10)], "zone": ["north"], "coordinator": ["coordinator"],
-         "director": ["n0", "n1"], "clients": ["clients"]}
+         "director": ["n0", "n1"], "clients": ["clients"], "machine": ["c0", "n0"], "pair": ["n0>n1", "n1>n0"]}
 DAY = """
 [failure dies]
     kind kill
--- /dev/null
+++ b/tests/test_stage.py
@@ -0,0 +1,143 @@
+"""The stage of real processes: faults take hold, the record sees them, nothing is left behind."""
+
+import os
+import subprocess
+import sys
+import textwrap
+import time
+
+import trio
+
+from rookbend.lab.stage import stage
+from rookbend.lab.stage.process import SHIM, Node
+from rookbend.lab.stage.record import Record
+from rookbend.lab.stage.relay import UdpRelay, Ways
+from rookbend.lab.timeline import parse, write
+
+
+def test_a_power_loss_of_all_in_the_middle_of_writes_breaks_no_rule():
+    async def main():
+        async with stage(directors=3, rate=60) as scene:
+            await scene.start()
+            await scene.admitted()
+            await scene.until(lambda: len(scene.world.ran) > 5, "writes ran")
+            await scene.play("[failure dark]\n kind power\n part n0 n1 n2 c0 c1 c2 c3 p0\n at 0s\n for 200ms\n")
+            for node in scene.nodes.values():
+                await node.said("ready")
+            assert all(node.lives == 2 for node in scene.nodes.values())
+            ran = len(scene.world.ran)
+            await scene.until(lambda: len(scene.world.ran) > ran + 5, "writes ran again")
+            scene.verdict()
+            once = [rids for rids in scene.world.ran.values() if len(rids) != len(set(rids))]
+            assert not once, f"run twice under one id: {once}"
+    trio.run(main)
+
+
+def test_a_cut_wire_carries_nothing_until_it_heals_and_a_frozen_director_goes_on():
+    async def main():
+        async with stage(directors=2, caches=2) as scene:
+            await scene.start()
+            await scene.admitted()
+            scene.cut("coordinator", "n0")
+            scene.freeze("n1")
+            scene.boxes["c0"].draining = True
+            scene.coordinator.tell_members("c0")
+            lost = await scene.nodes["n0"].said("coordinator_lost")
+            assert lost["reason"] == "the stream is silent"
+            assert not scene.nodes["n1"].heard("coordinator_lost")
+            scene.heal("coordinator", "n0")
+            calls = scene.coordinator.calls["n0"]
+            await scene.until(lambda: scene.coordinator.calls["n0"] > calls, "n0 calls again")
+            scene.thaw("n1")
+            for name in scene.names:
+                assert (await scene.ask(name, "/metrics"))["status"] == 200
+            scene.verdict()
+    trio.run(main)
+
+
+def test_datagrams_are_lost_doubled_and_reordered_as_the_seed_says():
+    async def main():
+        record, ways = Record(), Ways()
+        socks = {}
+        for name in ("a", "b"):
+            socks[name] = sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+            await sock.bind(("127.0.0.1", 0))
+        relay = UdpRelay(ways, record, {n: s.getsockname()[:2] for n, s in socks.items()}, 7)
+        async with trio.open_nursery() as nursery:
+            known = await relay.listen(nursery, lambda name: "127.0.0.1")
+            host, _, port = known["b"].rpartition(":")
+            ways.get("a", "b").set(loss=0.3, double=0.5, reorder=0.3)
+            for i in range(200):
+                await socks["a"].sendto(bytes([i]), (host, int(port)))
+                await trio.sleep(0.0005)
+            while record.counts["datagram", "a"] < 200 or relay.waiting:
+                await trio.sleep(0)
+            ways.get("a", "b").heal()
+            await socks["a"].sendto(b"end", (host, int(port)))
+            got = []
+            while not got or got[-1] != b"end":
+                data, address = await socks["b"].recvfrom(100)
+                assert "{}:{}".format(*address) == known["a"], "it comes from the sender's address"
+                got.append(data)
+            nursery.cancel_scope.cancel()
+        numbers = [data[0] for data in got[:-1]]
+        assert 100 < len(set(numbers)) < 180 and len(numbers) > len(set(numbers)) and numbers != sorted(numbers)
+        assert record.counts["datagram", "a"] == 201
+    trio.run(main)
+
+
+def test_a_process_has_the_unix_clock_that_the_stage_sets(tmp_path):
+    node = Node("n0", tmp_path, Record())
+    env = {**os.environ, "ROOKBEND_STAGE": str(tmp_path), "PYTHONPATH": str(SHIM)}
+    asked = "import sys, time\nfor line in sys.stdin: print(time.time(), flush=True)"
+    with subprocess.Popen([sys.executable, "-c", asked], env=env, text=True, stdin=subprocess.PIPE,
+                          stdout=subprocess.PIPE) as child:
+        def ahead():
+            child.stdin.write("?\n")
+            child.stdin.flush()
+            return float(child.stdout.readline()) - time.time()
+
+        assert abs(ahead()) < 5
+        node.set_clock(600.0)
+        assert 595 < ahead() < 605
+        node.set_clock(-600.0)
+        assert -605 < ahead() < -595
+        child.stdin.close()
+
+
+def test_no_director_outlives_a_stage_that_is_killed(tmp_path):
+    # A module and not -c: the stage's processes are children of the one that is killed.
+    script = tmp_path / "run.py"
+    script.write_text(textwrap.dedent("""
+        import trio
+        from rookbend.lab.stage import stage
+        async def main():
+            async with stage(directors=2, caches=1) as scene:
+                await scene.start()
+                await scene.admitted()
+                print(*(n.process.pid for n in scene.nodes.values()), flush=True)
+                await trio.sleep_forever()
+        trio.run(main)
+    """))
+    with subprocess.Popen([sys.executable, str(script)], text=True, stdout=subprocess.PIPE,
+                          env={**os.environ, "PYTHONPATH": os.getcwd()}) as child:
+        pids = [int(word) for word in child.stdout.readline().split()]
+        watched = [os.pidfd_open(pid) for pid in pids]
+        child.kill()
+
+    async def ended():
+        for fd in watched:
+            await trio.lowlevel.wait_readable(fd)
+            os.close(fd)
+
+    trio.run(ended)
+    assert len(pids) == 2
+
+
+def test_the_new_failures_are_read_written_and_refused_like_the_others():
+    day = parse("[failure a]\n kind clock\n part n0\n at 1s\n by 10m\n back yes\n"
+                "[failure b]\n kind cut-between\n part n0>n1\n at 2s\n for 1s\n", "day")
+    assert parse(write(day), "again") == tuple(
+        type(f)(**{**{n: getattr(f, n) for n in f.__struct_fields__}, "place": g.place})
+        for f, g in zip(day, parse(write(day), "again"), strict=True))
+    assert day[0].back and day[1].on == "pair"
