rookbend demo: a fleet on this machine loses its power and returns, with a report

Need: a newcomer could not start rookbend: the README's command ended in `NODE_CONFIG is not set`.

The stage starts processes from the main thread: trio's start them in a thread that ends after ten idle seconds, and PDEATHSIG then killed them (all directors at once, 10 s after each start, as the demo showed).

--- a/rookbend/cli/__init__.py
+++ b/rookbend/cli/__init__.py
@@ -11,7 +11,8 @@
 
 VERSION = "0.2.0"
 COMMANDS = {
-    "serve": "serve", "check-config": "check_config", "members": "members", "version": "version",
+    "serve": "serve", "check-config": "check_config", "members": "members", "demo": "demo",
+    "version": "version",
 }
 
 
--- a/rookbend/lab/stage/boxes.py
+++ b/rookbend/lab/stage/boxes.py
@@ -178,7 +178,7 @@
             self._total -= self._log.popleft()[1]
         able = make.multiple * self.capacity(now - make.window_us) * make.window_us / 1e6
         self.most = max(self.most, self._total / able)
-        if self._total > able and (self.role == "origin" or self._is_cold(now)):
+        if self._total > able and (self.role == "origin" or self.is_cold(now)):
             self._fall()
             return None
         free = max(self._free_us, now)
@@ -188,7 +188,7 @@
         self.worked += 1
         return (free - now) / 1e6 + work
 
-    def _is_cold(self, now: int) -> bool:
+    def is_cold(self, now: int) -> bool:
         return bool(self.up_since_us) and now - self.up_since_us < self.make.warm_up_us
 
     def work_of(self, key: str, part: int) -> float:
--- a/rookbend/lab/stage/clients.py
+++ b/rookbend/lab/stage/clients.py
@@ -257,10 +257,10 @@
         return [Ended(w.first_us, w.kind, w.done_us or None) for w in self.wishes
                 if since_us <= w.first_us < until_us]
 
-    def by_second(self, began_us: int) -> dict[int, tuple[float, float]]:
+    def by_second(self, began_us: int, until_us: int = 1 << 62) -> dict[int, tuple[float, float]]:
         """Worth earned and asked for, by the second in which it was first asked."""
         out: dict[int, tuple[float, float]] = {}
-        for e in self.ended(began_us):
+        for e in self.ended(began_us, until_us):
             second = (e.sent_us - began_us) // 1_000_000
             got, asked = out.get(second, (0.0, 0.0))
             worth = self.kinds[e.cls].worth
--- a/rookbend/lab/stage/process.py
+++ b/rookbend/lab/stage/process.py
@@ -5,7 +5,8 @@
 (`shim/`), which puts the Unix clock that the program reads under the stage's control.
 
 A process never outlives its stage: the kernel is asked to kill it when the thread that started it dies
-(prctl(2), PR_SET_PDEATHSIG).
+(prctl(2), PR_SET_PDEATHSIG). So it is started by the main thread: trio starts processes in threads that end
+after ten idle seconds, and took every director with them.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 import os
 import signal
 import struct
+import subprocess
 import sys
 from pathlib import Path
 
@@ -54,7 +56,7 @@
     def __init__(self, name: str, folder: Path, record: Record, checkout: Path = CHECKOUT):
         self.name, self.folder, self.record, self.checkout = name, folder, record, checkout
         self.config_file, self.settings_file = folder / "config.json", folder / "rookbend.conf"
-        self.process: trio.Process | None = None
+        self.process: subprocess.Popen | None = None
         self.lives = 0
         self.lines: list[list[dict]] = []
         self.changed = trio.Event()
@@ -66,38 +68,41 @@
 
     @property
     def running(self) -> bool:
-        return self.process is not None and self.process.returncode is None
+        return self.process is not None and self.process.poll() is None
 
     def set_clock(self, ahead_s: float = 0.0, rate: float = 1.0) -> None:
         """From now on its Unix clock shows the true time and so much more, and runs at that rate."""
         self._clock[:] = CLOCK.pack(ahead_s, rate - 1.0)
         self.record.note("fault", self.name, f"clock {ahead_s:+g}s rate {rate:g}")
 
-    async def start(self, nursery: trio.Nursery, config: dict, operators: str) -> None:
+    def start(self, nursery: trio.Nursery, config: dict, operators: str) -> None:
         assert not self.running, f"{self.name} runs already"
         self.config_file.write_text(json.dumps(config))
         self.settings_file.write_text(operators)
         env = {**os.environ, "NODE_CONFIG": str(self.config_file), "NODE_SETTINGS": str(self.settings_file),
                "ROOKBEND_STAGE": str(self.folder),
                "PYTHONPATH": os.pathsep.join(filter(None, (str(SHIM), os.environ.get("PYTHONPATH"))))}
-        self.process = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "rookbend"], cwd=self.checkout, env=env, stdin=None,
-            stderr=-1, preexec_fn=die_with_parent)      # -1: subprocess.PIPE
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "rookbend"], cwd=self.checkout, env=env, stdin=subprocess.DEVNULL,
+            stderr=subprocess.PIPE, preexec_fn=die_with_parent)
         self.lives += 1
         self.lines.append([])
         self.record.note("start", self.name, f"life {self.lives}")
         nursery.start_soon(self._read, self.process, self.lines[-1])
 
-    async def _read(self, process: trio.Process, lines: list[dict]) -> None:
+    async def _read(self, process: subprocess.Popen, lines: list[dict]) -> None:
         data = b""
-        with open(self.folder / "log", "ab") as log:
-            async for more in process.stderr:
-                log.write(more)
-                log.flush()
-                *whole, data = (data + more).split(b"\n")
-                lines += [fields_of(line.decode("utf-8", "replace")) for line in whole]
-                self._tell()
-        await process.wait()
+        said = trio.lowlevel.FdStream(os.dup(process.stderr.fileno()))
+        process.stderr.close()
+        async with said:
+            with open(self.folder / "log", "ab") as log:
+                async for more in said:
+                    log.write(more)
+                    log.flush()
+                    *whole, data = (data + more).split(b"\n")
+                    lines += [fields_of(line.decode("utf-8", "replace")) for line in whole]
+                    self._tell()
+        await self._gone(process)
         self.record.note("end", self.name, f"exit {process.returncode}")
         self._tell()
 
@@ -125,9 +130,20 @@
     async def ended(self) -> int:
         """Waits for its end; the exit code, negative for a signal."""
         with trio.move_on_after(HANG_S):
-            return await self.process.wait()
+            await self._gone(self.process)
+            return self.process.returncode
         raise Hung(f"{self.name} does not end")
 
+    @staticmethod
+    async def _gone(process: subprocess.Popen) -> None:
+        if process.poll() is None:
+            watched = os.pidfd_open(process.pid)
+            try:
+                await trio.lowlevel.wait_readable(watched)
+            finally:
+                os.close(watched)
+            process.wait()
+
     def signal(self, number: signal.Signals) -> None:
         if self.running:
             self.record.note("fault", self.name, number.name)
--- a/rookbend/lab/stage/scene.py
+++ b/rookbend/lab/stage/scene.py
@@ -157,8 +157,9 @@
 
     async def start(self, *names: str, known: dict | None = None) -> None:
         """Starts directors, all that do not run if none is named; returns when the processes exist."""
+        await trio.lowlevel.checkpoint()
         for name in names or [n for n in self.names if not self.nodes[n].running]:
-            await self.nodes[name].start(self.nursery, self.config(name, known), self.settings_text(name))
+            self.nodes[name].start(self.nursery, self.config(name, known), self.settings_text(name))
 
     async def admitted(self, *names: str) -> None:
         """Waits until the front has admitted them."""
