--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -18,34 +18,32 @@
 PATH = "/v2/stream"
 SILENCE_US = 3_000_000      # a comment comes each second: a stream silent for this long is dead
 CONNECT_US = 1_000_000
-PAUSE_S = 0.1               # between two calls; doubles up to
-PAUSE_MOST_S = 1.0
+PAUSE_S = 0.1               # after a stream that brought something
+PAUSE_MOST_S = 1.0          # and after one that did not: longer than the span, so that calls don't overlap
 SPREAD_S = 0.8              # and so much more, spread over the fleet: under a fifth of it in any 0.1 s
 TURN = 0.382                # of the span, by which the places move on
-DRAWN = 0.25                # of a director's part of the span: the seeded draw's. All of it would let three meet
+DRAWN = 0.25                # of a director's part of the span: the seeded draw's; more lets three meet
 
 
 class Turns:
-    """Pauses between calls, in seconds: this director's place in the span first, then doubling."""
+    """Pauses between calls, in seconds: this director's place in the span first, then even ones."""
 
     def __init__(self, number: int, count: int, seed: int):
         self.number, self.count = number, max(1, count)
         self.random = random.Random(f"{seed} calls")
-        self.least, self.lost, self.placed = PAUSE_S, 0, False
+        self.lost, self.placed = 0, False
 
     def well(self) -> None:
         """The last call brought something: nothing is known against the coordinator."""
-        self.least, self.placed = PAUSE_S, False
+        self.placed = False
 
     def next(self) -> float:
-        pause = self.least
-        if not self.placed:
-            self.placed = True
-            place = (self.number + DRAWN * self.random.random()) / self.count + self.lost * TURN
-            pause += SPREAD_S * (place % 1.0)
-            self.lost += 1
-        self.least = min(2 * self.least, PAUSE_MOST_S)
-        return pause
+        if self.placed:
+            return PAUSE_MOST_S
+        place = (self.number + DRAWN * self.random.random()) / self.count + self.lost * TURN
+        self.placed = True
+        self.lost += 1
+        return PAUSE_S + SPREAD_S * (place % 1.0)
 
 
 class Watch:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -32,7 +32,7 @@
         for _ in range(8):
             pauses = [turns.next() for _ in range(6)]
             assert PAUSE_S <= pauses[0] <= PAUSE_S + SPREAD_S
-            assert pauses[1:] == [0.2, 0.4, 0.8, PAUSE_MOST_S, PAUSE_MOST_S]
+            assert pauses[1:] == [PAUSE_MOST_S] * 5
             turns.well()
             firsts.append(pauses[0])
         places.append(firsts)
