Durable state: a ledger, SQLite by apsw under one writer thread, and a disk that forgets

Need: a director begins from nothing after a power loss: its boot number, operators' orders, drains and purges it knew are gone with the process.

The stage's shim replaces SQLite's VFS: what is not synced is lost with the process; disk.tear applies a part of it, the last write half.

Found by the stateful test: a drop of a row whose earlier drop was still on its way was called safe; a refused value came back with the next refusal.

--- a/rookbend/cli/serve.py
+++ b/rookbend/cli/serve.py
@@ -11,6 +11,7 @@
 
 from rookbend import config as configuration
 from rookbend import service
+from rookbend.cli import UsageFault
 from rookbend.cli.loading import load
 
 HELP = "serve as the director that NODE_CONFIG describes (the default)"
@@ -27,6 +28,8 @@
     gc.set_threshold(50_000, 20, 50)
     try:
         trio.run(service.serve, config, operators, lambda: configuration.load_all(os.environ))
+    except configuration.ConfigError as error:
+        raise UsageFault(str(error)) from None
     except service.CannotListen as error:
         print(f"rookbend: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/rookbend/lab/stage/disk.py
@@ -0,0 +1,65 @@
+"""What a power loss and worse do to a director's folder; its process does not run meanwhile.
+
+While it runs, `shim/faultydisk.py` keeps what is not synced out of the real files.
+"""
+
+from __future__ import annotations
+
+import shutil
+import struct
+from pathlib import Path
+
+RECORD = struct.Struct("=qi")
+BESIDE = ".unsynced"
+
+
+def lose(folder: Path) -> int:
+    """What was not synced is gone; how many bytes that were."""
+    gone = 0
+    for left in folder.glob(f"*{BESIDE}"):
+        gone += left.stat().st_size
+        left.unlink()
+    return gone
+
+
+def tear(folder: Path, part: float) -> int:
+    """A part of what was not synced reached the disk, in the order of writing, the last write of it half; how
+    many bytes did. (A disk may reorder more: SQLite's checksums don't care which.)"""
+    reached = 0
+    for left in folder.glob(f"*{BESIDE}"):
+        data, at, records = left.read_bytes(), 0, []
+        while at + RECORD.size <= len(data):
+            offset, length = RECORD.unpack_from(data, at)
+            at += RECORD.size
+            records.append((offset, None if length < 0 else data[at:at + length]))
+            at += max(length, 0)
+        kept = records[:max(1, int(len(records) * part))]
+        with open(left.with_name(left.name.removesuffix(BESIDE)), "r+b") as file:
+            for number, (offset, piece) in enumerate(kept):
+                if piece is None:
+                    file.truncate(offset)
+                    continue
+                if number == len(kept) - 1:
+                    piece = piece[:len(piece) // 2]
+                file.seek(offset)
+                file.write(piece)
+                reached += len(piece)
+        left.unlink()
+    return reached
+
+
+def copy(folder: Path, to: Path) -> None:
+    """A backup, or what puts one back."""
+    if to.exists():
+        shutil.rmtree(to)
+    shutil.copytree(folder, to, ignore=shutil.ignore_patterns(f"*{BESIDE}"))
+
+
+def spoil(folder: Path) -> None:
+    """The file is damaged in its middle."""
+    path = folder / "state.db"
+    data = bytearray(path.read_bytes())
+    data[:100] = b"\xff" * 100
+    path.write_bytes(data)
+    for beside in ("-wal", "-shm"):
+        (folder / f"state.db{beside}").unlink(missing_ok=True)
--- a/rookbend/lab/stage/process.py
+++ b/rookbend/lab/stage/process.py
@@ -75,12 +75,23 @@
         self._clock[:] = CLOCK.pack(ahead_s, rate - 1.0)
         self.record.note("fault", self.name, f"clock {ahead_s:+g}s rate {rate:g}")
 
+    @property
+    def state(self) -> Path:
+        """The folder that `{state}` names in the operators' settings of a scene."""
+        return self.folder / "state"
+
+    def set_disk(self, word: str = "") -> None:
+        """From now on its disk is `full` or `read-only`, or well again."""
+        (self.folder / "disk").write_text(word)
+        self.record.note("fault", self.name, f"disk {word or 'well'}")
+
     def start(self, nursery: trio.Nursery, config: dict, operators: str) -> None:
         assert not self.running, f"{self.name} runs already"
         self.config_file.write_text(json.dumps(config))
         self.settings_file.write_text(operators)
         env = {**os.environ, "NODE_CONFIG": str(self.config_file), "NODE_SETTINGS": str(self.settings_file),
                "ROOKBEND_STAGE": str(self.folder),
+               "ROOKBEND_STAGE_DISK": "yes" if "[state]" in operators else "",
                "PYTHONPATH": os.pathsep.join(filter(None, (str(SHIM), os.environ.get("PYTHONPATH"))))}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "rookbend"], cwd=self.checkout, env=env, stdin=subprocess.DEVNULL,
--- a/rookbend/lab/stage/scene.py
+++ b/rookbend/lab/stage/scene.py
@@ -30,6 +30,7 @@
 from rookbend.lab import timeline
 from rookbend.lab.fleet import SETTINGS
 from rookbend.lab.rules import Limits
+from rookbend.lab.stage import disk
 from rookbend.lab.stage.boxes import CACHE, ORIGIN, PARENT, Box, Make, World
 from rookbend.lab.stage.clients import Front
 from rookbend.lab.stage.coordinator import Coordinator
@@ -152,7 +153,7 @@
 
     def settings_text(self, name: str) -> str:
         more = self.operators(name) if callable(self.operators) else self.operators
-        more = more.replace("{state}", str(self.folder / name / "state"))
+        more = more.replace("{state}", str(self.nodes[name].state))
         return OPERATORS.format(admin=self.places[name]["admin"], more=more)
 
     async def start(self, *names: str, known: dict | None = None) -> None:
@@ -230,6 +231,7 @@
                 self.coordinator.tell_members(name)
             else:
                 await self.nodes[name].ended()
+                disk.lose(self.nodes[name].state)
                 await self.start(name, known=known)
 
     def freeze(self, name: str) -> None:
@@ -288,6 +290,8 @@
         elif kind == "clock":
             ahead = step.failure.by_us / 1e6 * (-1 if step.failure.back else 1)
             self.nodes[part].set_clock(ahead if begins else 0.0)
+        elif kind == "disk":
+            self.nodes[part].set_disk(step.failure.says if begins else "")
         elif kind == "drop":
             for other in self.names:
                 self.ways.get(part, other).set(loss=step.failure.share if begins else 0.0)
--- /dev/null
+++ b/rookbend/lab/stage/shim/faultydisk.py
@@ -0,0 +1,87 @@
+"""A disk that forgets: an apsw VFS under SQLite, for processes of the stage. Loaded by `sitecustomize`.
+
+What is written lives in this process's memory, and in a file beside it (`.unsynced`), until it is synced;
+only then it reaches the real file. A process that is killed therefore loses just what it had not synced, as a
+machine does that loses its power. The stage may then apply a part of `.unsynced`, the last write torn
+(`disk.tear`). The word in the stage's file `disk` makes writes fail: `full`, `read-only`.
+"""
+
+import os
+import struct
+
+import apsw
+
+RECORD = struct.Struct("=qi")       # offset, length; -1: a truncation to the offset
+FLAGS = apsw.SQLITE_OPEN_MAIN_DB | apsw.SQLITE_OPEN_WAL | apsw.SQLITE_OPEN_MAIN_JOURNAL
+_word = os.path.join(os.environ["ROOKBEND_STAGE"], "disk")
+
+
+def _refused():
+    try:
+        with open(_word, encoding="ascii") as file:
+            word = file.read().strip()
+    except OSError:
+        return
+    if word == "full":
+        raise apsw.FullError("the stage says the disk is full")
+    if word == "read-only":
+        raise apsw.ReadOnlyError("the stage says the disk is read-only")
+
+
+class Forgetful(apsw.VFSFile):
+    def __init__(self, name, flags):
+        super().__init__("unix", name, flags)
+        self.path = name.filename() if isinstance(name, apsw.URIFilename) else name
+        with open(self.path, "rb") as file:
+            self.image = bytearray(file.read())
+        self.unsynced = []
+        self.beside = open(self.path + ".unsynced", "wb", buffering=0)  # noqa: SIM115 - open as long as we
+
+    def xRead(self, amount, offset):
+        return bytes(self.image[offset:offset + amount])
+
+    def xWrite(self, data, offset):
+        _refused()
+        self.beside.write(RECORD.pack(offset, len(data)) + bytes(data))
+        if len(self.image) < offset:
+            self.image.extend(bytes(offset - len(self.image)))
+        self.image[offset:offset + len(data)] = data
+        self.unsynced.append((offset, bytes(data)))
+
+    def xTruncate(self, size):
+        self.beside.write(RECORD.pack(size, -1))
+        del self.image[size:]
+        self.unsynced.append((size, None))
+
+    def xFileSize(self):
+        return len(self.image)
+
+    def xSync(self, flags):
+        if self.unsynced:
+            _refused()
+        for offset, data in self.unsynced:
+            if data is None:
+                super().xTruncate(offset)
+            else:
+                super().xWrite(data, offset)
+        self.unsynced.clear()
+        super().xSync(flags)
+        self.beside.seek(0)
+        self.beside.truncate()
+
+    def xClose(self):
+        self.beside.close()
+        super().xClose()
+
+
+class Vfs(apsw.VFS):
+    def __init__(self):
+        super().__init__("forgetful", "unix", makedefault=True)
+
+    def xOpen(self, name, flags):
+        if name is not None and flags[0] & FLAGS:
+            return Forgetful(name, flags)
+        return super().xOpen(name, flags)
+
+
+VFS = Vfs()
--- a/rookbend/lab/stage/shim/sitecustomize.py
+++ b/rookbend/lab/stage/shim/sitecustomize.py
@@ -24,3 +24,6 @@
         return true + ahead + (true - _since[0]) * rate
 
     time.time = _now
+
+if _folder and os.environ.get("ROOKBEND_STAGE_DISK"):
+    import faultydisk  # noqa: F401 - it registers itself
--- a/rookbend/parts.py
+++ b/rookbend/parts.py
@@ -163,7 +163,15 @@
     return [server]
 
 
+def _state(site: Site) -> list[Part]:
+    from rookbend.net.state import StatePart
+
+    site.built["state"] = state = StatePart(site)
+    return [state]
+
+
 OPTIONAL = (
+    (lambda s: s.state is not None, _state),        # first: what others keep in it they ask for at once
     (lambda s: s.dns is not None, _dns),
     (lambda s: s.health is not None, _health),
     (lambda s: s.agent_server or s.http_server or s.grpc_server, _balancer),
--- a/rookbend/settings/schema.py
+++ b/rookbend/settings/schema.py
@@ -97,6 +97,14 @@
     place: Place = START
 
 
+class State(msgspec.Struct, frozen=True):
+    """Where a director keeps what must outlive it. One folder a director."""
+
+    folder: str
+    fleet: str = "rookbend"
+    most: int = 16 << 20            # bytes in memory and, about, on disk
+
+
 class Settings(msgspec.Struct, frozen=True):
     """All that the operators' file says. A part whose field is None is off."""
 
@@ -108,6 +116,7 @@
     headroom: Headroom = Headroom()
     admin: Admin | None = None
     background: Background = Background()
+    state: State | None = None
     health: Health | None = None
     checks: tuple[Check, ...] = ()
 
@@ -136,6 +145,9 @@
     "background": (Background, False, {
         "rate": Form(v.whole(1, 100_000)), "running": Form(v.whole(1, 10_000)),
         "descriptors": Form(v.whole(1, 10_000)), "watches": Form(v.whole(1, 10_000))}),
+    "state": (State, False, {
+        "folder": Form(v.text(1, 4096), required=True), "fleet": Form(v.text(1, 100)),
+        "most": Form(v.size(64 << 10, 1 << 30))}),
     "health": (Health, False, {
         "max-out": Form(v.share()), "panic-hold": PERIOD, "hold": PERIOD, "hold-most": PERIOD,
         "flap-window": PERIOD, "slow-start": Form(v.time(0, HOUR)), "start-at": Form(v.share(0.01, 1.0)),
--- a/rookbend/state/ledger.py
+++ b/rookbend/state/ledger.py
@@ -24,13 +24,23 @@
 RETRY_US = 1_000_000            # between two tries of a disk that refused
 
 
+@dataclass(slots=True)
+class Waiting:
+    """Somebody waits for a change to be safe: the row before it and after it, None where there is none."""
+
+    key: Key
+    before: Row | None
+    after: Row | None
+    done: Done
+
+
 @dataclass(slots=True)
 class Batch:
     """What the writer puts into one transaction: a row, or None where it is to go."""
 
     number: int
     changes: dict[Key, Row | None]
-    waiting: list[tuple[Key, Row | None, Done]] = field(default_factory=list)
+    waiting: list[Waiting] = field(default_factory=list)
 
 
 class Ledger:
@@ -38,7 +48,7 @@
         self.most_bytes, self.bytes = most_bytes, 0
         self.rows: dict[str, dict[str, Row]] = {name: {} for name in KINDS}     # oldest first
         self.dirty: dict[Key, None] = {}
-        self.waiting: list[tuple[Key, Row | None, Done]] = []   # (key, the row before, done)
+        self.waiting: list[Waiting] = []
         self.out: Batch | None = None
         self.fault, self.retry_us = "", 0
         self.batches = self.failed = self.refused = self.evicted = 0
@@ -73,17 +83,19 @@
 
     def drop(self, kind: str, key: str, done: Done | None = None) -> None:
         before = self.rows[kind].get(key)
-        if before is None:
+        pending = (kind, key) in self.dirty or self.out is not None and (kind, key) in self.out.changes
+        if before is None and not pending:
             if done is not None:
                 done(True)
             return
+        # Gone in memory already, it may be on the disk still: that is waited for.
         self._unset(kind, key)
         self._touched(kind, key, before, done)
 
     def _touched(self, kind: str, key: str, before: Row | None, done: Done | None) -> None:
         self.dirty[kind, key] = None
         if done is not None:
-            self.waiting.append(((kind, key), before, done))
+            self.waiting.append(Waiting((kind, key), before, self.rows[kind].get(key), done))
 
     def _set(self, kind: str, key: str, row: Row) -> None:
         self._unset(kind, key)
@@ -138,21 +150,25 @@
             return
         self.out, self.fault = None, fault
         if not fault:
-            for _, _, done in batch.waiting:
-                done(True)
+            for waiting in batch.waiting:
+                waiting.done(True)
             return
         self.failed += 1
         self.retry_us = now_us + RETRY_US
         for key in batch.changes:
             self.dirty.setdefault(key, None)
         # The newest change first: what stood before the oldest refused one is what is restored.
-        for (kind, key), before, _ in reversed(batch.waiting):
-            if any(k == (kind, key) for k, _, _ in self.waiting):
-                continue        # changed again since, and somebody waits for that: it has its own end
-            if before is None:
+        for refused in reversed(batch.waiting):
+            kind, key = refused.key
+            later = next((w for w in self.waiting if w.key == refused.key), None)
+            if later is not None and later.before is refused.after:
+                later.before = refused.before       # guards what is refused from coming back with it
+            elif self.rows[kind].get(key) is not refused.after:
+                continue                            # changed again since: that stands
+            elif refused.before is None:
                 self._unset(kind, key)
             else:
-                self._set(kind, key, before)
+                self._set(kind, key, refused.before)
         self.refused += len(batch.waiting)
-        for _, _, done in batch.waiting:
-            done(False)
+        for waiting in batch.waiting:
+            waiting.done(False)
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,290 @@
+"""Durable state: what was promised is there after any crash, and a folder that is not ours is refused."""
+
+import subprocess
+import sys
+
+import apsw
+import pytest
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from rookbend.lab.stage import disk as faults
+from rookbend.lab.stage import stage
+from rookbend.lab.stage.process import SHIM
+from rookbend.state import disk as disk_module
+from rookbend.state.disk import Disk
+from rookbend.state.ledger import RETRY_US, Ledger
+from rookbend.state.model import KINDS, Identity, Row, StateFault
+
+ME = Identity("n0", "fleet")
+STATE = "[state]\n folder {state}\n fleet f1\n"
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """A disk that takes or refuses each batch, and a power loss at any moment. Each value is a number of its
+    own, so that it is known which change a row is of."""
+
+    @initialize()
+    def begin(self):
+        self.disk, self.now, self.number = {}, 1, 0
+        self.promised, self.refused, self.drops = {}, set(), {}     # key: number; values; key: last drop
+        self.ledger = Ledger(100_000)
+
+    def told(self, key, number):
+        def done(safe):
+            if safe:
+                self.promised[key] = max(number, self.promised.get(key, 0))
+            else:
+                self.refused.add(number)
+        return done
+
+    @rule(key=st.sampled_from("abc"), waits=st.booleans())
+    def put(self, key, waits):
+        self.now, self.number = self.now + 1, self.number + 1
+        self.ledger.put(self.now, "order", key, b"%d" % self.number, self.told(key, self.number) if waits else None)
+
+    @rule(key=st.sampled_from("abc"))
+    def drop(self, key):
+        self.number += 1
+        number, told = self.number, self.told(key, self.number)
+
+        def done(safe):
+            told(safe)
+            if safe:
+                self.drops[key] = number
+        self.ledger.drop("order", key, done)
+
+    @rule(refused=st.booleans())
+    def write(self, refused):
+        self.now += RETRY_US
+        batch = self.ledger.take(self.now)
+        if batch is not None:
+            self.end(batch, refused)
+
+    @rule(refused=st.booleans(), key=st.sampled_from("abc"), waits=st.booleans())
+    def write_while_more_comes(self, refused, key, waits):
+        self.now += RETRY_US
+        batch = self.ledger.take(self.now)
+        self.put(key, waits)
+        if batch is not None:
+            self.end(batch, refused)
+
+    def end(self, batch, refused):
+        if not refused:
+            self.disk.update(batch.changes)
+        self.ledger.ended(self.now, batch.number, "disk full" if refused else "")
+
+    @rule()
+    def lose_power(self):
+        self.ledger = Ledger(100_000, {k: row for k, row in self.disk.items() if row is not None})
+
+    @invariant()
+    def what_was_promised_or_a_later_change_is_on_the_disk(self):
+        for key, number in self.promised.items():
+            row = self.disk.get(("order", key))
+            found = int(row.value) if row is not None else self.drops.get(key, 0)
+            assert found >= number, (key, number, row)
+
+    @invariant()
+    def what_was_refused_is_nowhere(self):
+        rows = [*self.ledger.all("order").values(), *filter(None, self.disk.values())]
+        assert not self.refused & {int(row.value) for row in rows}
+
+    @invariant()
+    def bytes_are_what_the_rows_are(self):
+        rows = self.ledger.rows.values()
+        assert self.ledger.bytes == sum(row.size + len(key) for kind in rows for key, row in kind.items())
+
+
+LedgerMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestLedger = LedgerMachine.TestCase
+
+
+def committed(ledger, now, fault=""):
+    batch = ledger.take(now)
+    ledger.ended(now, batch.number, fault)
+    return batch
+
+
+def test_what_gathers_while_a_batch_is_out_goes_as_one():
+    ledger, heard = Ledger(1 << 20), []
+    ledger.put(1, "order", "a", b"1", heard.append)
+    batch = ledger.take(1)
+    for i in range(50):
+        ledger.put(2, "order", f"k{i}", b"2", heard.append)
+    assert ledger.take(2) is None and heard == []
+    ledger.ended(3, batch.number)
+    assert heard == [True] and len(ledger.take(3).changes) == 50
+
+
+def test_a_refused_promise_is_undone_and_said_and_what_nobody_waits_for_is_tried_again():
+    ledger, heard = Ledger(1 << 20), []
+    ledger.put(1, "order", "a", b"old", heard.append)
+    committed(ledger, 1)
+    ledger.put(2, "order", "a", b"new", heard.append)
+    ledger.put(2, "purge", "p", b"x")
+    committed(ledger, 2, "disk full")
+    assert heard == [True, False] and ledger.get("order", "a").value == b"old" and ledger.degraded
+    assert ledger.get("purge", "p") and ledger.take(3) is None and ledger.due_us() == 2 + RETRY_US
+    again = committed(ledger, 2 + RETRY_US)
+    assert again.changes["purge", "p"].value == b"x" and again.changes["order", "a"].value == b"old"
+    assert not ledger.degraded
+
+
+def test_rows_and_bytes_are_bounded_and_spare_kinds_go_first():
+    ledger = Ledger(64 << 10)
+    for i in range(3 * KINDS["token"].most):
+        ledger.put(i, "token", f"t{i}", b"x" * 8)
+    assert len(ledger.all("token")) <= KINDS["token"].most and ledger.bytes <= 64 << 10
+    ledger = Ledger(64 << 10)
+    ledger.put(1, "order", "kept", b"x")
+    for i in range(2000):
+        ledger.put(i + 2, "hint", f"h{i}", b"x" * 100)
+    assert ledger.get("order", "kept") and ledger.bytes <= 64 << 10
+    assert ledger.get("hint", "h1999") and not ledger.get("hint", "h0")
+
+
+# The disk itself
+
+
+def keep(folder, **rows):
+    disk = Disk(folder, ME)
+    ledger = Ledger(1 << 20, disk.rows)
+    for key, value in rows.items():
+        ledger.put(1, "order", key, value)
+    batch = ledger.take(1)
+    assert batch is None or disk.write(batch) == ""
+    disk.close()
+    return disk.boot
+
+
+def read(folder):
+    disk = Disk(folder, ME)
+    disk.close()
+    return {key: row.value for (kind, key), row in disk.rows.items()}, disk
+
+
+def test_rows_and_a_growing_boot_number_outlive_the_process(tmp_path):
+    assert keep(tmp_path, a=b"1") == 1
+    assert keep(tmp_path, b=b"2") == 2
+    rows, disk = read(tmp_path)
+    assert rows == {"a": b"1", "b": b"2"} and disk.boot == 3 and not disk.moved
+
+
+@pytest.mark.parametrize("identity, fault", [
+    (Identity("n1", "fleet"), "is of director 'n0', not 'n1'"), (Identity("n0", "other"), "is of fleet 'fleet', not 'other'")])
+def test_a_folder_of_another_is_refused(tmp_path, identity, fault):
+    keep(tmp_path)
+    with pytest.raises(StateFault, match=fault):
+        Disk(tmp_path, identity)
+    assert read(tmp_path)[1].boot == 2, "a refusal costs no number"
+
+
+def test_a_folder_in_use_and_one_of_a_newer_schema_are_refused(tmp_path, monkeypatch):
+    held = Disk(tmp_path, ME)
+    with pytest.raises(StateFault, match="in use by a living process"):
+        Disk(tmp_path, ME)
+    held.close()
+    monkeypatch.setattr(disk_module, "SCHEMA", 7)
+    monkeypatch.setattr(disk_module, "MIGRATIONS", dict.fromkeys(range(1, 7), "CREATE TABLE IF NOT EXISTS x(y)"))
+    assert read(tmp_path)[1].boot == 2, "migrated"
+    monkeypatch.undo()
+    with pytest.raises(StateFault, match="schema 7, newer than 1"):
+        Disk(tmp_path, ME)
+
+
+@pytest.mark.parametrize("spoil", [
+    faults.spoil, lambda folder: (folder / "state.db").write_bytes(b"no database" * 500)])
+def test_a_damaged_file_is_moved_aside_and_the_start_goes_on(tmp_path, spoil):
+    keep(tmp_path, a=b"1")
+    spoil(tmp_path)
+    rows, disk = read(tmp_path)
+    assert rows == {} and disk.boot == 1 and disk.moved.startswith("state.db.damaged-1: ")
+    assert (tmp_path / "state.db.damaged-1").exists()
+
+
+def test_a_disk_that_can_not_be_written_to_is_one_fault(tmp_path):
+    (tmp_path / "file").write_text("x")
+    with pytest.raises(StateFault, match="can't be used"):
+        Disk(tmp_path / "file" / "state", ME)
+
+
+# Under a disk that forgets what was not synced, in a process that is killed
+
+WRITES = """
+import sys
+from pathlib import Path
+import faultydisk
+from rookbend.state.disk import Disk
+from rookbend.state.ledger import Ledger
+from rookbend.state.model import Identity
+disk = Disk(Path(sys.argv[1]), Identity("n0", "fleet"))
+ledger = Ledger(1 << 20, disk.rows)
+if sys.argv[2] == "unsynced":
+    disk._db.execute("PRAGMA synchronous=OFF")
+for i in range(10**9):
+    ledger.put(i, "order", f"k{i}", b"x" * 400)
+    batch = ledger.take(i)
+    assert disk.write(batch) == ""
+    ledger.ended(i, batch.number)
+    print(f"k{i}", flush=True)
+"""
+
+
+def killed_after(tmp_path, count, mode):
+    """The keys whose durability the process had told of when it was killed."""
+    (tmp_path / "stage").mkdir(exist_ok=True)
+    folder = tmp_path / "state"
+    env = {"PYTHONPATH": f"{SHIM}:{':'.join(sys.path)}", "ROOKBEND_STAGE": str(tmp_path / "stage")}
+    with subprocess.Popen([sys.executable, "-c", WRITES, folder, mode], env=env, text=True,
+                          stdout=subprocess.PIPE) as child:
+        told = [child.stdout.readline().strip() for _ in range(count)]
+        child.kill()
+        told += child.stdout.read().split()
+    return folder, told
+
+
+@pytest.mark.parametrize("loss", [faults.lose, lambda f: faults.tear(f, 0.3), lambda f: faults.tear(f, 1.0)])
+def test_what_was_told_as_safe_outlives_a_power_loss_and_a_torn_write(tmp_path, loss):
+    folder, told = killed_after(tmp_path, 60, "synced")
+    loss(folder)
+    rows, disk = read(folder)
+    assert not disk.moved and not set(told) - set(rows)
+
+
+def test_the_forgetful_disk_does_lose_what_is_not_synced(tmp_path):
+    folder, told = killed_after(tmp_path, 60, "unsynced")
+    assert faults.lose(folder) > 0
+    rows, _ = read(folder)
+    assert set(told) - set(rows), "a check that could not fail"
+
+
+# In directors of their own
+
+
+def test_a_director_refuses_a_folder_that_is_not_its_own_in_one_line_and_exit_2():
+    async def main():
+        async with stage(directors=2, caches=1, operators=STATE) as scene:
+            await scene.start()
+            await scene.admitted()
+            assert [scene.nodes[n].heard("state_open")[0]["boot"] for n in scene.names] == [1, 1]
+            scene.power_off("n0", "n1")
+            for node in scene.nodes.values():
+                await node.ended()
+            faults.copy(scene.nodes["n0"].state, scene.nodes["n1"].state)
+            await scene.start()
+            assert await scene.nodes["n1"].ended() == 2
+            raw = scene.nodes["n1"].heard("raw")
+            assert len(raw) == 1 and "is of director 'n0', not 'n1'" in raw[0]["text"]
+            assert (await scene.nodes["n0"].said("state_open"))["boot"] == 2
+            faults.spoil(scene.nodes["n1"].state)
+            await scene.start("n1")
+            assert "damaged-1" in (await scene.nodes["n1"].said("state_damaged"))["moved"]
+            await scene.admitted()
+    trio.run(main)
+
+
+def test_apsw_is_there():
+    assert apsw.sqlite_lib_version() and Row(b"", 1).size == 64
