--- a/rookbend/cli/__init__.py
+++ b/rookbend/cli/__init__.py
@@ -12,6 +12,7 @@
 VERSION = "0.2.0"
 COMMANDS = {
     "serve": "serve", "check-config": "check_config", "members": "members", "demo": "demo",
+    "fleet": "fleet", "recovery": "recovery",
     "version": "version",
 }
 
--- a/rookbend/config.py
+++ b/rookbend/config.py
@@ -172,7 +172,8 @@
     Fault."""
     config = load(environ)
     operators = settings.load(environ, SETTINGS_FILE)
-    settings.check_permits(operators, config.settings.limits.probes)
+    talk = config.settings.limits.may_tell and bool(config.peer_listen and config.peers)
+    settings.check_permits(operators, config.settings.limits.probes, talk)
     return config, operators
 
 
--- a/rookbend/core/clock.py
+++ b/rookbend/core/clock.py
@@ -27,6 +27,10 @@
     def now(self) -> int:
         return int(self._monotonic() * 1e6) + self._offset
 
+    def monotonic_us(self) -> int:
+        """Microseconds that no step of the system's clock moves."""
+        return int(self._monotonic() * 1e6)
+
     def monotonic_at(self, now_us: int) -> float:
         """The monotonic reading, in seconds, at which this clock shows `now_us`."""
         # Half a microsecond more: rounded down, who slept until then would find that it is not yet time, and
--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -61,6 +61,10 @@
         self.lag_us = 0         # how late the loop ran last: what is read now may have waited as long
         self.on_timer_change: Callable[[int], None] = lambda due: None
         self.on_attempt_end: Callable[[int, Status], None] | None = None    # what health hears of attempts
+        # What recovery hears of them: as one goes out (None), and how it ended.
+        self.on_attempt: Callable[[Attempt, Result | None], None] | None = None
+        self.on_peer: Callable[[int, bytes], bool] | None = None    # takes what is not the module's
+        self.oldest_us = 0      # copies that left the origin before are not asked for; 0: as the module says
         self._live: dict[int, Live] = {}
         self._rids: set[str] = set()        # of the open requests
         self._last_id = 0
@@ -165,8 +169,14 @@
             del told[oldest]
         self._post(api.Purged(purge.object_id or 0, purge.group, max(0, now - purge.unix_us)))
 
+    def limit(self, closed: frozenset[int], per_s: float | None) -> None:
+        """Limits for the module: see `interface.Limited`."""
+        self._post(api.Limited(closed, per_s))
+
     def peer_message(self, sender: int, data: bytes) -> None:
         self.counters.peer_messages += 1
+        if self.on_peer is not None and self.on_peer(sender, data):
+            return
         self._post(api.PeerMessage(sender, data))
 
     # What the backend calls
@@ -213,6 +223,8 @@
             live is None, result.note, result.fill_wait_us, result.load))
         if self.on_attempt_end is not None:
             self.on_attempt_end(attempt.server, status)
+        if self.on_attempt is not None:
+            self.on_attempt(attempt, result)
 
     # Timers
 
@@ -284,12 +296,18 @@
             attempt.keep, attempt.max_age_us, attempt.join = a.keep, a.max_age_us, a.join
             attempt.only_if_held, attempt.renew = a.only_if_held, a.renew
             attempt.parent_keeps_none = a.parent_keeps_none
+            if self.oldest_us:
+                # Guards against a purge that was told while nobody listened: see recovery/gap.py.
+                young = max(1, now - self.oldest_us)
+                attempt.max_age_us = min(attempt.max_age_us or young, young)
         # Guards a request that was lost once to a reset: its next try goes out on a new connection. Writes
         # are not sent on new connections as such: each director doing so kept dozens of idle ones at the
         # origin, whose table, shared by a fleet, turned nine writes in ten away (docs/design/fleet.md).
         attempt.fresh = live.reset
         live.flight = attempt
         self.counters.attempts += 1
+        if self.on_attempt is not None:
+            self.on_attempt(attempt, None)
         if due < live.deadline:
             self._set_timer(due, ATTEMPT, attempt)
         self.backend.send(attempt, entry)
--- a/rookbend/interface.py
+++ b/rookbend/interface.py
@@ -221,9 +221,18 @@
     age_us: int
 
 
+@dataclass(slots=True)
+class Limited:
+    """Limits from outside, until the next: classes that are refused at once; fills and direct requests a
+    second, None: any."""
+
+    closed: frozenset[int] = frozenset()
+    per_s: float | None = None
+
+
 Event = (
     MembersChanged | RequestArrived | AttemptFinished | AnswerStarted | RequestCancelled
-    | ProbeFinished | PeerMessage | TimerFired | Purged
+    | ProbeFinished | PeerMessage | TimerFired | Purged | Limited
 )
 
 # Actions
--- /dev/null
+++ b/rookbend/lab/fleetsim.py
@@ -0,0 +1,338 @@
+"""A fleet of recovery machines in simulated time: the program's own machine, up to hundreds of them, one
+origin.
+
+What is modelled besides the machines is the least that shows what they do together: datagrams that are lost,
+late, doubled or cut between two; a coordinator that may be away; a disk a director, that may be lost or put
+back old; demand of reads and writes, spread evenly over the directors that are ready, of which a share that
+falls as caches fill must go to the origin; an origin that does so many calls a second, queues for a second,
+refuses then, and falls when it is pushed over. Seeded; the same seed gives the same run. """
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from rookbend.core.model import Entry, RosterChange
+from rookbend.interface import Member, MemberState
+from rookbend.recovery import director as machine
+from rookbend.recovery.sequence import Stage
+from rookbend.state.ledger import Ledger
+
+SECOND = 1_000_000
+STEP_US = 50_000            # of demand
+CLASSES = ((True, 8.0, 1.0), (False, 1.0, 1.0), (False, 2.0, 4.0))
+PARENT, ORIGIN = 1, 2
+EPOCH = 1_764_576_000 * SECOND
+
+
+@dataclass
+class World:
+    """`capacity` calls a second of the origin, `demand` requests a second of all clients; of these writes,
+    and of the reads those that find no copy at first, at last, and the calls after which half the way is
+    gone."""
+
+    capacity: float = 140.0
+    demand: float = 400.0
+    writes: float = 0.1
+    miss_cold: float = 1.0
+    miss_warm: float = 0.1
+    fills_to_half: float = 300.0
+    multiple: float = 2.5
+    window_us: int = 1_500_000
+    queue_us: int = 1_000_000
+    down_us: int = 4_000_000
+    call_us: int = 40_000
+
+
+class Origin:
+    def __init__(self, world: World):
+        self.world = world
+        self.log: deque[int] = deque()
+        self.free_us = self.down_until = 0
+        self.falls = self.calls = 0
+        self.most = 0.0             # the fullest window, as a share of what pushes it over
+
+    def call(self, now: int) -> tuple[bool, int]:
+        """(answered, microseconds it takes)."""
+        w = self.world
+        self.calls += 1
+        if now < self.down_until:
+            return False, 1_000
+        self.log.append(now)
+        while self.log[0] <= now - w.window_us:
+            self.log.popleft()
+        full = len(self.log) / (w.multiple * w.capacity * w.window_us / SECOND)
+        self.most = max(self.most, full)
+        if full > 1:
+            self.falls += 1
+            self.down_until = now + w.down_us
+            self.log.clear()
+            self.free_us = 0
+            return False, 1_000
+        free = max(self.free_us, now)
+        if free - now > w.queue_us:
+            return False, 1_000
+        self.free_us = free + int(SECOND / w.capacity)
+        return True, free - now + w.call_us
+
+
+@dataclass
+class Node:
+    number: int
+    disk: Ledger = field(default_factory=lambda: Ledger(1 << 20))
+    boot: int = 0               # on disk
+    machine: machine.Director | None = None
+    limits: machine.LimitsSet | None = None
+    tokens: float = 0.0
+    tokens_us: int = 0
+    lives: list[tuple[int, int]] = field(default_factory=list)      # (boot, life) that it has told of
+    members: dict[str, Entry] = field(default_factory=dict)         # what went on to the engine
+    orders: dict[str, str] = field(default_factory=dict)            # what went on to health
+    said: list[machine.Say] = field(default_factory=list)
+    frozen: list = field(default_factory=list)
+    is_frozen: bool = False
+    events: Counter = field(default_factory=Counter)
+
+
+class FleetSim:
+    def __init__(self, count: int, seed: int = 7, world: World | None = None, recovery: bool = True,
+                 talk: bool = True, keep_disk: bool = True, loss: float = 0.0, double: float = 0.0,
+                 late_us: int = 2_000):
+        self.count, self.seed, self.world = count, seed, world or World()
+        self.recovery, self.talk, self.keep_disk = recovery, talk, keep_disk
+        self.loss, self.double, self.late_us = loss, double, late_us
+        self.random = random.Random(f"{seed} fleet")
+        self.now = EPOCH
+        self.nodes = [Node(i) for i in range(count)]
+        self.origin = Origin(self.world)
+        self.cut: set[tuple[int, int]] = set()
+        self.coordinator = True
+        self.revision = 1
+        self.roster = [
+            Entry(Member(i + 1, zone=0, kind=0), f"c{i}", ("127.0.0.1", 1)) for i in range(4)] + [
+            Entry(Member(90, kind=PARENT), "p0", ("127.0.0.1", 1)),
+            Entry(Member(91, kind=ORIGIN), "records", ("127.0.0.1", 1))]
+        self.filled = 0.0
+        self.datagrams = Counter()                  # by second since the epoch
+        self.earned: dict[int, tuple[float, float]] = {}
+        self.refused = self.asked = 0
+        self._heap: list[tuple] = []
+        self._order = 0
+        self._push(self.now, self._demand)
+
+    # Time
+
+    def _push(self, at: int, what, *args) -> None:
+        self._order += 1
+        heapq.heappush(self._heap, (at, self._order, what, args))
+
+    def run(self, for_us: int) -> None:
+        end = self.now + for_us
+        while self._heap and self._heap[0][0] <= end:
+            at, _, what, args = heapq.heappop(self._heap)
+            self.now = at
+            what(*args)
+        self.now = end
+
+    # Directors
+
+    def power_on(self, *numbers: int, spread_us: int = 200_000) -> None:
+        for number in numbers or range(self.count):
+            if self.nodes[number].machine is None:
+                self._push(self.now + int(self.random.random() * spread_us), self._boot, number)
+
+    def power_off(self, *numbers: int) -> None:
+        """In this instant. The disks keep what was synced: in this model all that was put."""
+        for number in numbers or range(self.count):
+            node = self.nodes[number]
+            node.machine = node.limits = None
+            node.is_frozen, node.frozen = False, []
+            node.members, node.orders = {}, {}
+
+    def lose_disk(self, number: int) -> None:
+        self.nodes[number].disk, self.nodes[number].boot = Ledger(1 << 20), 0
+
+    def copy_disk(self, number: int) -> tuple:
+        node = self.nodes[number]
+        return {(k, key): row for k, rows in node.disk.rows.items() for key, row in rows.items()}, node.boot
+
+    def restore_disk(self, number: int, copy: tuple) -> None:
+        self.nodes[number].disk, self.nodes[number].boot = Ledger(1 << 20, dict(copy[0])), copy[1]
+
+    def freeze(self, number: int, frozen: bool) -> None:
+        node = self.nodes[number]
+        node.is_frozen = frozen
+        if not frozen:
+            waiting, node.frozen = node.frozen, []
+            for event in waiting:
+                self._feed(number, event)
+
+    def _boot(self, number: int) -> None:
+        node = self.nodes[number]
+        if node.machine is not None:
+            return
+        if not self.keep_disk:
+            self.lose_disk(number)
+        node.boot += 1
+        before = tuple((k, key, row.value, row.at_us)
+                       for k, rows in node.disk.rows.items() for key, row in rows.items())
+        config = machine.Config(
+            number, self.count, "sim", self.seed, CLASSES, 0, PARENT, ORIGIN, 6 * SECOND, talk=self.talk)
+        life = self.random.getrandbits(40) + 1
+        node.machine = machine.Director(config, self.now, node.boot, life, before)
+        node.lives.append((node.boot, life))
+        node.tokens, node.tokens_us = self.random.random(), self.now
+        self._carry_out(node, node.machine.begin(self.now))
+        if not self.recovery:
+            node.limits = machine.LimitsSet(True, frozenset(), None, 0)
+        self._tell(number)
+        if self.recovery:
+            self._push(self.now, self._tick, number, node.machine)
+
+    def _tell(self, number: int) -> None:
+        """The coordinator's stream comes up, where it is there; it is called again each second."""
+        node = self.nodes[number]
+        if node.machine is None:
+            return
+        if not self.coordinator:
+            return self._push(self.now + SECOND, self._tell, number)
+        self._feed(number, machine.RosterTold(RosterChange(True, self.revision, list(self.roster))))
+        self._feed(number, machine.StreamHeard())
+
+    def drain(self, name: str, state: MemberState = MemberState.DRAINING) -> None:
+        """The coordinator tells it to all that are up."""
+        from dataclasses import replace
+        self.revision += 1
+        for i, entry in enumerate(self.roster):
+            if entry.name == name:
+                self.roster[i] = Entry(replace(entry.member, state=state), name, entry.address)
+                for node in self.nodes:
+                    if node.machine is not None and self.coordinator:
+                        self._feed(node.number, machine.RosterTold(
+                            RosterChange(False, self.revision, [self.roster[i]])))
+
+    def order(self, number: int, member: str, order: str) -> None:
+        self._feed(number, machine.OrderGiven(member, order, "kim"))
+
+    def _tick(self, number: int, of) -> None:
+        node = self.nodes[number]
+        if node.machine is not of:
+            return
+        if not node.is_frozen:
+            self._feed(number, machine.Tick())
+        self._push(max(of.due_us, self.now + 1_000), self._tick, number, of)
+
+    def _feed(self, number: int, event) -> None:
+        node = self.nodes[number]
+        if node.machine is None:
+            return
+        if node.is_frozen:
+            node.frozen.append(event)
+            return
+        self._carry_out(node, node.machine.feed(self.now, event))
+
+    def _carry_out(self, node: Node, actions: list) -> None:
+        for a in actions:
+            kind = type(a)
+            node.events[kind.__name__] += 1
+            if kind is machine.Send:
+                self._send(node.number, a.peer, a.data)
+            elif kind is machine.Keep:
+                node.disk.put(self.now, a.kind, a.key, a.value)
+            elif kind is machine.Forget:
+                node.disk.drop(a.kind, a.key)
+            elif kind is machine.LimitsSet and self.recovery:
+                node.limits = a
+            elif kind is machine.BootRaised:
+                node.boot = a.boot
+                node.lives.append((a.boot, node.machine.life))
+            elif kind is machine.Members:
+                if a.change.complete:
+                    node.members = {}
+                node.members.update({e.name: e for e in a.change.entries})
+            elif kind is machine.OrderLearnt:
+                node.orders[a.member] = a.order
+            elif kind is machine.Say:
+                node.said.append(a)
+
+    # Datagrams
+
+    def _send(self, source: int, target: int, data: bytes) -> None:
+        self.datagrams[(self.now - EPOCH) // SECOND] += 1
+        assert len(data) <= 256
+        for _ in range(2 if self.random.random() < self.double else 1):
+            if (source, target) not in self.cut and self.random.random() >= self.loss:
+                late = int(self.late_us * (1 + self.random.expovariate(1.0)))
+                self._push(self.now + late, self._feed, target, machine.Datagram(source, data))
+
+    # Demand
+
+    def _demand(self) -> None:
+        w = self.world
+        # Clients come to those that are ready; while none is, their requests are lost at the front.
+        ready = [n for n in self.nodes if n.machine is not None and n.limits is not None and n.limits.ready
+                 and not n.is_frozen]
+        arrivals = self._poisson(w.demand * STEP_US / SECOND)
+        for _ in range(arrivals):
+            write = self.random.random() < w.writes
+            cls = 0 if write else 1 + (self.random.random() < 0.3)
+            worth = CLASSES[cls][1]
+            second = (self.now - EPOCH) // SECOND
+            got, asked = self.earned.get(second, (0.0, 0.0))
+            self.asked += 1
+            good = bool(ready) and self._serve(self.random.choice(ready), cls, write)
+            self.refused += not good
+            self.earned[second] = got + worth * good, asked + worth
+        self._push(self.now + STEP_US, self._demand)
+
+    def _poisson(self, mean: float) -> int:
+        count, left = 0, self.random.expovariate(1.0)
+        while left < mean:
+            count, left = count + 1, left + self.random.expovariate(1.0)
+        return count
+
+    def _serve(self, node: Node, cls: int, write: bool) -> bool:
+        w, limits = self.world, node.limits
+        if cls in limits.closed:
+            return False
+        warmth = 0.5 ** (self.filled / w.fills_to_half)
+        if not write and self.random.random() >= w.miss_warm + (w.miss_cold - w.miss_warm) * warmth:
+            return True         # a copy was there
+        if limits.rate is not None:
+            most = max(1.0, 0.5 * limits.rate)
+            node.tokens = min(most, node.tokens + (self.now - node.tokens_us) * limits.rate / SECOND)
+            node.tokens_us = self.now
+            if node.tokens < 1 and not write:
+                return False
+            node.tokens -= 1
+        self._feed(node.number, machine.CallMade())
+        well, took = self.origin.call(self.now)
+        self._push(self.now + took, self._feed, node.number, machine.CallEnded(well, took))
+        if well and not write:
+            self.filled += 1
+        return well and took < SECOND
+
+    def go_cold(self) -> None:
+        """All caches are empty."""
+        self.filled = 0.0
+
+    # What came of it
+
+    def share(self, second: int) -> float:
+        got, asked = self.earned.get(second, (0.0, 0.0))
+        return got / asked if asked else 0.0
+
+    def seconds_to(self, share: float, since: int, steady: float = 1.0) -> float:
+        """Seconds from that second on until worth stays at or above that share of the steady one for three
+        seconds; infinity where it never does."""
+        last = max(self.earned)
+        for second in range(since, last - 3):
+            if all(self.share(s) >= share * steady for s in range(second, second + 3)):
+                return second - since
+        return float("inf")
+
+    def stages(self) -> Counter:
+        return Counter("dark" if n.machine is None else Stage(n.machine.sequence.stage).name.lower()
+                       for n in self.nodes)
--- a/rookbend/logic.py
+++ b/rookbend/logic.py
@@ -49,6 +49,7 @@
 PEEK_HELD, PEEK_ASKED, LATE_SPAN = 0.05, 0.25, 24   # late shares that tell a slow origin from a full link
 LEAST_LEFT = 0.5         # no attempt where less than this share of its sending time is left
 
+PACE_BURST, SPREAD = 0.5, 0.5    # under a limit from outside: seconds of fills at once, least share of a wait
 ASK_SHARE = 0.125        # a failed subscription is asked for again after this share of the time stated
 
 MASK, WATCH = (1 << 64) - 1, "watch"
@@ -239,6 +240,7 @@
     def __init__(self):
         self.late = {Note.FILLED: 0.0, Note.ORIGIN_ASKED: 0.0}      # share late: held there, and asked for
         self.out, self.limit, self.whole, self.step = 0, None, 1.0, LIMIT_STEP
+        self.per_s, self.tokens, self.at = None, 0.0, 0     # from outside: how many a second
 
     def resize(self, transfers, routers):   # what the location's caches carry, and how many routers share it
         whole = transfers / routers
@@ -246,8 +248,21 @@
         self.limit = LIMIT_START * whole if self.limit is None else self.limit
         self.limit = min(max(self.limit, LIMIT_LEAST * self.whole), LIMIT_MOST * self.whole)
 
-    def has_place(self):
-        return self.out < self.limit
+    def has_place(self, now):
+        return self.out < self.limit and (self.per_s is None or self.filled(now) >= 1)
+
+    def filled(self, now):
+        most = max(1.0, PACE_BURST * self.per_s)
+        self.tokens = min(most, self.tokens + (now - self.at) * self.per_s / 1e6)
+        self.at = now
+        return self.tokens
+
+    def pace(self, now, per_s, first):
+        if self.per_s is None:
+            self.tokens, self.at = first, now       # a draw: routers limited together don't begin in step
+        elif per_s is not None:
+            self.filled(now)
+        self.per_s = per_s
 
     def observe(self, late):
         if late:
@@ -333,6 +348,7 @@
         self.mark_limit = max(1, int(TABLE_SHARE * settings.max_open))
         self.marks, self.open, self.flights, self.timers = {}, {}, {}, {}
         self.token, self.now, self.out, self.asked = 0, 0, [], False
+        self.closed, self.seed = frozenset(), seed
 
     def handle(self, now_us, event):
         self.now, self.out = now_us, []
@@ -356,6 +372,20 @@
         elif not self.s.list_is_pushed and event.kind is ListKind.FAILED:
             self.set_timer(ASK_SHARE * self.s.ask_within_us, WATCH)
 
+    def on_limited(self, event):
+        self.closed = event.closed
+        self.limit.pace(self.now, event.per_s, mix(self.seed ^ self.s.router_index) % 1024 / 1024)
+        while self.waiting and self.limit.limit and self.limit.has_place(self.now):
+            fitting = [w for w in self.waiting if self.in_time(w)]
+            if not fitting:
+                break
+            self.release(fitting)
+
+    def release(self, fitting):
+        best = max(fitting, key=lambda w: w.cls.worth / max(w.work, 1.0))   # by worth for its bytes
+        self.waiting.remove(best)
+        self.send(best)
+
     def set_timer(self, delay, request):
         self.token += 1
         self.timers[self.token] = request
@@ -413,6 +443,8 @@
         r.work = self.sending_time(r, event.size_kb)
         r.aim = min(self.now + cls.aim_us + cls.aim_stretch * r.work, r.deadline)
         self.open[r.id] = r
+        if event.traffic_class in self.closed:
+            return self.give_up(r)
         self.send_write(r) if r.write else self.enter(r)
 
     def sending_time(self, r, size_kb):
@@ -560,7 +592,7 @@
             return self.give_up(r)
         purged = self.purges.latest(r.object, r.group, self.now)
         known = self.held_at(r, purged) == m.server
-        look = not known and source is not None and not self.limit.has_place()
+        look = not known and source is not None and not self.limit.has_place(self.now)
         if look and (r.missed or m is source):
             return self.queue_fill(r)
         # A look may take what the parent holds while those are timely and others not: the origin is slow.
@@ -606,6 +638,7 @@
         if f.fills:
             self.health.get(source).filling += 1
             self.limit.out += not r.write
+            self.limit.tokens -= 1      # a write's call is one too, but waits for nothing
         self.flights[(r.id, r.number)] = f
         r.number += 1
         r.flight = f
@@ -639,11 +672,9 @@
             self.learn(r, f, event)
         self.finish(r, f, event)
         waiting = () if event.status is Status.FULL else self.waiting   # a refused place is none for others
-        fitting = [w for w in waiting if self.in_time(w)] if self.limit.has_place() else ()
+        fitting = [w for w in waiting if self.in_time(w)] if self.limit.has_place(self.now) else ()
         if fitting:
-            best = max(fitting, key=lambda w: w.cls.worth / max(w.work, 1.0))   # by worth for its bytes
-            self.waiting.remove(best)
-            self.send(best)
+            self.release(fitting)
 
     def watch_fills(self, f, event):
         """A time-out counts for nothing here: the answer may be lost, and the fill in time."""
@@ -784,8 +815,10 @@
         self.open.pop(r.id, None)
         harmless = r.cls.effect is Effect.SAFE or r.ran_at is None \
             or (r.cls.effect is Effect.KEYED and r.cls.group == "all")
-        refuse = harmless and self.s.retry_after
-        self.out.append(api.Refuse(r.id, self.s.max_retry_after_us) if refuse else api.Fail(r.id))
+        refuse, wait = harmless and self.s.retry_after, self.s.max_retry_after_us
+        if self.closed or self.limit.per_s is not None:     # refused together, not to come back together
+            wait = int(wait * (SPREAD + (1 - SPREAD) * (mix(self.seed ^ r.id) % 1024) / 1024))
+        self.out.append(api.Refuse(r.id, wait) if refuse else api.Fail(r.id))
         self.forget(r)
 
 
@@ -797,4 +830,5 @@
     api.TimerFired: Router.on_timer,
     api.AnswerStarted: lambda router, event: router.health.alive(event.server, router.now),
     api.Purged: lambda router, event: router.purges.note(router.now, event),
+    api.Limited: Router.on_limited,
 }
--- a/rookbend/net/part.py
+++ b/rookbend/net/part.py
@@ -36,6 +36,8 @@
     most_clients: int
     phase: Callable[[], str]            # the lifecycle's, by name
     sample: Callable[[], Sample]        # what is measured of ourselves
+    # Whether the director may say that it is ready; a part that keeps it from that puts its own here.
+    admits: Callable[[], bool] = lambda: True
     # Figures that go up and down, by name; a part adds its own.
     gauges: list[Callable[[], dict[str, float]]] = field(default_factory=list)
     # What parts built before offer to those built after, by name.
--- a/rookbend/net/small.py
+++ b/rookbend/net/small.py
@@ -59,13 +59,17 @@
             channel.close()
 
 
-async def serve_http(channel: Channel, handle: Callable[[HttpRequest], tuple[int, bytes, str]]) -> None:
-    """Answers each request of a connection by `handle`: (status, body, content type)."""
+Reply = tuple[int, bytes, str]
+
+
+async def serve_http(channel: Channel, handle: Callable[[HttpRequest], Reply | Awaitable[Reply]]) -> None:
+    """Answers each request of a connection by `handle`: (status, body, content type), or one to wait for."""
     http = HttpServe()
     while not http.ended:
         request = http.feed(await channel.receive())
         while request is not None:
-            channel.write(http.answer(*handle(request)))
+            reply = handle(request)
+            channel.write(http.answer(*(reply if isinstance(reply, tuple) else await reply)))
             request = None if http.ended else http.next()
         if http.refusal:
             channel.write(http.refusal)
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -53,6 +54,8 @@
         s = engine.settings
         self.turns = Turns(s.router_index, s.router_count, seed)
         self.roster_changed = engine.roster_changed     # or health's, which weighs it and passes it on
+        self.purged = engine.purged
+        self.heard: Callable[[], None] = lambda: None   # the stream is up and has brought something
         self.last_index = 0
         self._call = trio.CancelScope()     # the call under way, or the pause before the next
 
@@ -78,7 +81,7 @@
             # One event that can't be used must not cost those that follow it.
             return self.engine.log("coordinator_event_unusable", "error", reason=str(error))
         if isinstance(event, Purge):
-            self.engine.purged(event)
+            self.purged(event)
         elif event is not None:
             self.roster_changed(event)
 
@@ -115,4 +118,5 @@
                         if isinstance(event, StreamEnd):
                             raise StreamError("the stream has ended")
                         self._take(event)
+                    self.heard()
             raise StreamError("the stream is silent")
--- a/rookbend/parts.py
+++ b/rookbend/parts.py
@@ -131,19 +131,32 @@
     return [health]
 
 
+def _recovery(site: Site) -> list[Part]:
+    from rookbend.net.recovery import RecoveryPart
+
+    site.built["recovery"] = recovery = RecoveryPart(site)
+    return [recovery]
+
+
 def _admin(site: Site) -> list[Part]:
     from rookbend.health.model import Order, Ordered
     from rookbend.net.small import SmallServer, serve_http
     from rookbend.protocol.admin import AdminDesk
 
-    admin, health = site.operators.admin, site.built.get("health")
-    tables, order = {}, None
+    admin, health, recovery = site.operators.admin, site.built.get("health"), site.built.get("recovery")
+    tables, order, command = {}, None, None
+    if recovery is not None:
+        tables["/fleet"], tables["/recovery"], command = recovery.fleet, recovery.explain, recovery.command
     if health is not None:
-        def order(name: str, order: Order, by: str) -> bool:
+        async def order(name: str, order: Order, by: str) -> tuple[int, str]:
             server = health.desk.find(name)
-            if server is not None:
-                health.desk.feed(Ordered(server, order, by))
-            return server is not None
+            if server is None:
+                return 404, f"no member {name}"
+            # Safe first: an order that was said to stand is not taken back by a power loss.
+            if recovery is not None and (refused := await recovery.order(name, order.value, by)):
+                return 503, f"the order on {name} is {refused}"
+            health.desk.feed(Ordered(server, order, by))
+            return 200, ""
 
         tables["/members"] = lambda: {"director": site.config.name, "members": health.desk.table()}
         tables["/background"] = lambda: {
@@ -157,7 +170,7 @@
             return {name: value for part in site.gauges for name, value in part().items()}
 
         metrics = Figures(site.counters, health.desk.table if health else None, gauges).text
-    desk = AdminDesk(tables, order, metrics)
+    desk = AdminDesk(tables, order, metrics, command)
     site.built["admin"] = server = SmallServer(
         admin.listen, site.clock, site.outbox, lambda channel: serve_http(channel, desk.answer))
     return [server]
@@ -174,6 +187,7 @@
     (lambda s: s.state is not None, _state),        # first: what others keep in it they ask for at once
     (lambda s: s.dns is not None, _dns),
     (lambda s: s.health is not None, _health),
+    (lambda s: s.recovery is not None, _recovery),  # after health, whose place before the engine it takes
     (lambda s: s.agent_server or s.http_server or s.grpc_server, _balancer),
     (lambda s: s.admin is not None, _admin),
 )
--- a/rookbend/protocol/admin.py
+++ b/rookbend/protocol/admin.py
@@ -3,12 +3,15 @@
     GET  /members           {"members": [...]}: one object a member (see docs/HEALTH.md)
     POST /orders            {"member": "s-1", "order": "drain", "by": "name"}
     GET  /background        {"jobs": n, ...}
+    GET  /fleet             the directors as this one sees them, where recovery is on
+    GET  /recovery          where this one stands and what it waits for
+    POST /recovery          {"order": "hold"}; also resume, skip
     GET  /metrics           text for Prometheus, where that is on
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -25,6 +28,11 @@
     by: str = ""
 
 
+class StageWords(msgspec.Struct, forbid_unknown_fields=True):
+    order: str
+
+
+STAGE_ORDERS = "hold", "resume", "skip"
 Reply = tuple[int, bytes, str]
 
 
@@ -33,19 +41,22 @@
 
 
 class AdminDesk:
-    """`tables` gives a table by path; `order(member, order, by)` says whether there is such a member."""
+    """`tables` gives a table by path; `order(member, order, by)` gives (status, fault) once the order stands;
+    `command(word)` is an order to the recovery."""
 
     def __init__(self, tables: dict[str, Callable[[], object]],
-                 order: Callable[[str, Order, str], bool] | None,
-                 metrics: Callable[[], bytes] | None):
-        self.tables, self.order, self.metrics = tables, order, metrics
+                 order: Callable[[str, Order, str], Awaitable[tuple[int, str]]] | None,
+                 metrics: Callable[[], bytes] | None, command: Callable[[str], None] | None = None):
+        self.tables, self.order, self.metrics, self.command = tables, order, metrics, command
 
-    def answer(self, request: HttpRequest) -> Reply:
+    async def answer(self, request: HttpRequest) -> Reply:
         # Guards against a page in a browser on this machine that sends its reader here by a name of its own.
         if not request.headers.get(b"host", b"").decode("ascii", "replace").startswith(LOCAL):
             return _fault(403, "only by an address of the loopback")
         if request.path == "/orders" and self.order is not None:
-            return self._order(request)
+            return await self._order(request)
+        if request.path == "/recovery" and request.method == "POST" and self.command is not None:
+            return self._command(request)
         if request.method != "GET":
             return _fault(405, "only GET")
         if request.path == "/metrics" and self.metrics is not None:
@@ -55,16 +66,34 @@
             return _fault(404, "no such page")
         return 200, msgspec.json.encode(table()) + b"\n", JSON
 
-    def _order(self, request: HttpRequest) -> Reply:
+    @staticmethod
+    def _is_json(request: HttpRequest) -> bool:
+        """A form on a page in a browser can't send that."""
+        return request.headers.get(b"content-type", b"").startswith(b"application/json")
+
+    def _command(self, request: HttpRequest) -> Reply:
+        if not self._is_json(request):
+            return _fault(415, "an order is application/json")
+        try:
+            word = msgspec.json.decode(request.body, type=StageWords).order
+        except msgspec.MsgspecError as error:
+            return _fault(400, str(error))
+        if word not in STAGE_ORDERS:
+            return _fault(400, f"no order {word!r}: {', '.join(STAGE_ORDERS)}")
+        self.command(word)
+        return 200, msgspec.json.encode({"order": word}) + b"\n", JSON
+
+    async def _order(self, request: HttpRequest) -> Reply:
         if request.method != "POST":
             return _fault(405, "only POST")
-        if not request.headers.get(b"content-type", b"").startswith(b"application/json"):
-            return _fault(415, "an order is application/json")     # a form on a page can't send that
+        if not self._is_json(request):
+            return _fault(415, "an order is application/json")
         try:
             words = msgspec.json.decode(request.body, type=OrderWords)
             order = Order(words.order)
         except (msgspec.MsgspecError, ValueError) as error:
             return _fault(400, str(error))
-        if not self.order(words.member, order, words.by):
-            return _fault(404, f"no member {words.member}")
+        status, fault = await self.order(words.member, order, words.by)
+        if fault:
+            return _fault(status, fault)
         return 200, msgspec.json.encode({"member": words.member, "order": order.value}) + b"\n", JSON
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -89,7 +89,7 @@
         self.watch = Watch(
             self.engine, Translator(config.settings.zones, config.settings.kinds),
             coordinator_address(config), int(config.seed, 16))
-        platform = PlatformFront(self.engine, lambda: self.phase is Phase.READY, self.is_closed)
+        platform = PlatformFront(self.engine, self.is_ready, self.is_closed)
         limits = config.limits
         self.front = FrontServer(
             platform, limits.sockets // CLIENT_SHARE, (limits.memory_mb << 20) // UNSENT_SHARE, self.counters,
@@ -100,7 +100,7 @@
         self.pool: Pool | None = None
         self.site = Site(
             config, self.operators, self.engine, self.watch, self.clock, self.counters, self.log, self.outbox,
-            self.front.most_clients, lambda: self.phase.value, self.sample, [self.gauges])
+            self.front.most_clients, self.standing, self.sample, gauges=[self.gauges])
         self.parts: list[Part] = parts.optional(self.site)
         built = self.site.built
         self.dns, self.health, self.admin = built.get("dns"), built.get("health"), built.get("admin")
@@ -108,6 +108,14 @@
         self._stopping = trio.Event()
         self._timer_due_earlier = trio.Event()
 
+    def is_ready(self) -> bool:
+        return self.phase is Phase.READY and self.site.admits()
+
+    def standing(self) -> str:
+        """The phase as balancers in front are told it: not ready while a part holds it back."""
+        held = self.phase is Phase.READY and not self.site.admits()
+        return (Phase.STARTING if held else self.phase).value
+
     def is_closed(self) -> bool:
         """Whether even the latecomers' time after SIGTERM is over."""
         return bool(self.drain_began_us) and self.clock.now() > self.drain_began_us + LATECOMERS_US
--- a/rookbend/settings/schema.py
+++ b/rookbend/settings/schema.py
@@ -105,6 +105,19 @@
     most: int = 16 << 20            # bytes in memory and, about, on disk
 
 
+class Recovery(msgspec.Struct, frozen=True):
+    """How service returns after a loss. Rates are calls a second of the whole fleet towards the origin."""
+
+    peers: bool = True
+    fleet: str = "rookbend"
+    ready_share: float = 0.5
+    ready_by_us: int = 5 * SECOND
+    full_by_us: int = 30 * SECOND
+    first_rate: int = 40
+    full_rate: int = 400
+    place: Place = START
+
+
 class Settings(msgspec.Struct, frozen=True):
     """All that the operators' file says. A part whose field is None is off."""
 
@@ -117,6 +130,7 @@
     admin: Admin | None = None
     background: Background = Background()
     state: State | None = None
+    recovery: Recovery | None = None
     health: Health | None = None
     checks: tuple[Check, ...] = ()
 
@@ -148,6 +162,10 @@
     "state": (State, False, {
         "folder": Form(v.text(1, 4096), required=True), "fleet": Form(v.text(1, 100)),
         "most": Form(v.size(64 << 10, 1 << 30))}),
+    "recovery": (Recovery, False, {
+        "peers": Form(v.yes_or_no), "fleet": Form(v.text(1, 100)), "ready-share": Form(v.share(0.01, 1.0)),
+        "ready-by": PERIOD, "full-by": PERIOD, "first-rate": Form(v.whole(1, 100_000)),
+        "full-rate": Form(v.whole(1, 1_000_000))}),
     "health": (Health, False, {
         "max-out": Form(v.share()), "panic-hold": PERIOD, "hold": PERIOD, "hold-most": PERIOD,
         "flap-window": PERIOD, "slow-start": Form(v.time(0, HOUR)), "start-at": Form(v.share(0.01, 1.0)),
@@ -207,7 +225,9 @@
         if form.required and name not in places:
             raise Fault(section.place, f"{section.title} needs {name}")
     if section.kind == "check":
-        found.update(name=section.name, place=section.place)
+        found.update(name=section.name)
+    if "place" in fields:
+        found.update(place=section.place)
     return struct(**found), places
 
 
@@ -237,6 +257,11 @@
     elif isinstance(made, Health):
         if made.hold_us > made.hold_most_us:
             fault("hold", f"{v.show_time(made.hold_us)} is longer than hold-most")
+    elif isinstance(made, Recovery):
+        if made.full_rate < made.first_rate:
+            fault("full-rate", f"{made.full_rate} is less than first-rate, {made.first_rate}")
+        if made.full_by_us < made.ready_by_us:
+            fault("full-by", f"{v.show_time(made.full_by_us)} is sooner than ready-by")
     elif isinstance(made, Dns) and "{id}" not in made.box_name:
         fault("box-name", "needs {id}, the box's name in the roster")
 
@@ -283,11 +308,14 @@
     return parse(text, str(path) if named else default.name)
 
 
-def check_permits(settings: Settings, probes: bool) -> None:
-    """What the platform's own settings must permit. Raises `Fault`.
+def check_permits(settings: Settings, probes: bool, peers: bool = False) -> None:
+    """What the platform's own settings must permit: probes, datagrams between directors. Raises `Fault`.
 
     Guards the platform's rule: where it forbids probes, no check may be switched on by mistake.
     """
     if settings.checks and not probes:
         check = settings.checks[0]
         raise Fault(check.place, f"[check {check.name}] probes members, which the platform's settings forbid")
+    if settings.recovery is not None and settings.recovery.peers and not peers:
+        raise Fault(settings.recovery.place, "[recovery] talks to other directors, which the platform's "
+                    "settings don't permit or name; `peers no` does without")
--- a/rookbend/state/model.py
+++ b/rookbend/state/model.py
@@ -29,7 +29,6 @@
     Kind("promise", 1_000),         # votes
     Kind("write", 20_000),          # names given out for writes by the DNS front
     Kind("peer", 1_000),            # boot numbers of others
-    Kind("mark", 32),               # figures of our own: until when purges are covered
     Kind("hint", 2_000, True),
 )}
 
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,557 @@
+"""Recovery's pure parts: what is trusted, whom to believe, what happened, in which order service returns."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from rookbend.core.model import Entry, Purge, RosterChange
+from rookbend.interface import Limited, Member, MemberState, RequestArrived
+from rookbend.lab.fleetsim import EPOCH, ORIGIN, PARENT, SECOND, FleetSim, World
+from rookbend.protocol import fleet as wire
+from rookbend.recovery import director as machine
+from rookbend.recovery import rows, trust
+from rookbend.recovery.gap import Gap
+from rookbend.recovery.happened import HOLD_US, SILENT_US, Happened, Verdict
+from rookbend.recovery.peers import Peers
+from rookbend.recovery.sequence import Facts, Plan, Sequence, Stage
+from rookbend.recovery.share import BACK_US, STEP_US, Outcomes, Share
+
+NOW = EPOCH
+
+
+def hello(number, beat=1, boot=1, life=5, age_s=100.0, phase=2, **more):
+    fields = {"stage": 5, "covered": True, "revision": 1, "digests": (0, 0, 0), "origin": (0, 0, 0, 0, 0), **more}
+    return wire.Hello(wire.fleet_number("f"), number, life, boot, beat, phase, age_ms=int(age_s * 1000), **fields)
+
+
+# The wire
+
+
+def test_a_hello_fills_its_datagram_with_others_and_comes_back():
+    others = [wire.Seen(i, 10**6, 10**6, 2, 10**6) for i in range(200)]
+    data = wire.hello(hello(3, origin=(4000, 200, 100, 50, 900), yours=(2**30, 2**40)), others)
+    assert len(data) <= wire.MOST_BYTES
+    back = wire.decode(data)
+    assert back.number == 3 and len(back.others) > 5 and back.others == tuple(others[:len(back.others)])
+
+
+def test_pieces_resume_where_the_last_ended_and_pass_over_what_never_fits():
+    held = sorted([(f"0/m{i:03}", b"x" * 40) for i in range(20)] + [("0/m0055", b"y" * 300)])
+    got, after = [], ""
+    for _ in range(50):
+        piece = wire.decode(wire.pieces(1, 0, 5, 0, [r for r in held if r[0] > after]))
+        got += piece.rows
+        if not piece.more:
+            break
+        after = piece.rows[-1][0]
+    assert got == [r for r in held if len(r[1]) < 100]
+
+
+@given(st.binary(max_size=300))
+@settings(max_examples=300, deadline=None)
+def test_no_bytes_make_a_machine_raise(data):
+    d = director()
+    for raw in (data, wire.MAGIC + data, wire.MAGIC + b"\x98" + data):
+        assert all(type(a) in (machine.Send, machine.Say) for a in d.feed(NOW, machine.Datagram(1, raw)))
+
+
+@pytest.mark.parametrize("message", [
+    wire.Ask(wire.fleet_number("f"), 1, 5, 7, ""), hello(1, age_s=10**9), hello(1, digests=()), hello(1, boot=-1),
+    wire.Piece(wire.fleet_number("other"), 1, 5, 0, (), False)])
+def test_figures_that_can_not_be_are_counted_and_dropped(message):
+    d = director()
+    data = wire.MAGIC + wire._encoder.encode(message)
+    assert d.feed(NOW, machine.Datagram(1, data)) == [] and d.unreadable == 1
+
+
+# The table of trust
+
+
+def test_the_table_says_what_stands():
+    hour = 3600 * SECOND
+    assert trust.stands("order", 1, NOW) and trust.stands("order", NOW + hour, NOW), "kept, whatever the clock says"
+    assert trust.stands("drain", NOW + hour, NOW), "a limit from the future binds"
+    assert not trust.stands("drain", NOW - hour, NOW) and trust.counted_from(NOW + hour, NOW) == NOW
+    assert trust.stands("hint", NOW - SECOND, NOW) and not trust.stands("hint", NOW + SECOND, NOW)
+    assert trust.stands("purge", NOW - 5 * SECOND, NOW, 6 * SECOND)
+    assert not trust.stands("purge", NOW - 7 * SECOND, NOW, 6 * SECOND) and not trust.stands("verdict", NOW, NOW)
+
+
+def test_every_kind_on_disk_has_its_row_in_the_table():
+    from rookbend.state.model import KINDS
+    assert set(KINDS) == set(trust.BY_KIND)
+
+
+# Whom to believe
+
+
+def test_a_peer_with_an_old_boot_number_is_not_believed_until_it_takes_a_higher_one():
+    peers = Peers(0, 3, 7)
+    assert peers.hear(NOW, 1, hello(1, boot=7, beat=3))
+    assert not peers.hear(NOW, 1, hello(1, boot=6, life=9)) and peers.rows[1].doubted == "old boot"
+    assert not peers.hear(NOW, 1, hello(1, boot=7, life=9)), "the same number, another life"
+    assert peers.known_of(1) == (7, 5)
+    assert peers.hear(NOW, 1, hello(1, boot=8, life=9, age_s=1)) and not peers.rows[1].doubted
+
+
+def test_late_doubled_and_foreign_words_move_nothing():
+    peers = Peers(0, 3, 7)
+    assert peers.hear(NOW, 1, hello(1, beat=5))
+    assert not peers.hear(NOW + 1, 1, hello(1, beat=5)) and not peers.hear(NOW + 1, 1, hello(1, beat=4))
+    assert not peers.hear(NOW, 2, hello(1, beat=9)) and peers.rows[2].doubted == "name of another"
+    assert not peers.hear(NOW, 9, hello(9)) and not peers.hear(NOW, 0, hello(0))
+    assert not peers.hear(NOW + SECOND, 1, hello(1, beat=6, age_s=9000)), "a beginning that moves back"
+    assert peers.refused == {"late": 2, "name of another": 1, "stranger": 2, "figures": 1}
+    assert peers.heard(NOW + SECOND) == [peers.rows[1]]
+
+
+def test_a_peer_that_stood_still_looks_younger_and_is_believed():
+    peers = Peers(0, 3, 7)
+    assert peers.hear(NOW, 1, hello(1, beat=1, age_s=100))
+    assert peers.hear(NOW + 20 * SECOND, 1, hello(1, beat=2, age_s=100)), "20 s stopped: its age did not grow"
+
+
+def test_hearsay_is_a_sign_of_life_and_no_more():
+    peers = Peers(0, 40, 7)
+    peers.hear(NOW, 1, hello(1, others=tuple(wire.Seen(i, 1, 1, 2, 1) for i in range(2, 20))))
+    assert peers.up(NOW) == 20 and len(peers.heard(NOW)) == 1
+    assert peers.up(NOW + 5 * SECOND) == 1
+
+
+# What happened
+
+
+def judged(ages, count=None, after=SECOND, began=NOW):
+    peers = Peers(0, count or len(ages) + 1, 7)
+    for i, age in enumerate(ages, 1):
+        peers.hear(began + after, i, hello(i, age_s=age))
+    verdict = Verdict(began)
+    verdict.tick(began + after, peers)
+    return verdict.now_is
+
+
+@pytest.mark.parametrize("ages, count, after, expected", [
+    ([100, 100, 100], 4, SECOND, Happened.ALONE), ([1, 1, 1], 4, SECOND, Happened.WHOLE),
+    ([100, 100, 1, 1, 1], 6, SECOND, Happened.PART), ([100, 1, 1], 4, SECOND, Happened.WHOLE),
+    ([], 10, SECOND, Happened.UNSURE), ([], 10, SILENT_US, Happened.CUT_OFF), ([], 1, SECOND, Happened.WHOLE),
+    ([100, 100], 10, SECOND, Happened.UNSURE), ([100, 100], 10, SILENT_US, Happened.PART),
+    ([100, 100], 3, SECOND, Happened.ALONE), ([100], 3, SILENT_US, Happened.PART),
+])
+def test_what_happened_is_told_apart(ages, count, after, expected):
+    assert judged(ages, count, after) is expected
+
+
+def test_one_liar_among_three_does_not_make_us_hurry():
+    assert judged([10**6, 1, 1], 4) is Happened.WHOLE and judged([10**6], 4, SILENT_US) is Happened.PART
+
+
+def test_a_later_verdict_has_to_hold():
+    peers, verdict = Peers(0, 4, 7), Verdict(NOW)
+    assert verdict.tick(NOW + SILENT_US, peers) and verdict.now_is is Happened.CUT_OFF
+    for i in (1, 2, 3):
+        peers.hear(NOW + SILENT_US, i, hello(i, age_s=1))
+    assert not verdict.tick(NOW + SILENT_US + 1, peers)
+    for i in (1, 2, 3):
+        peers.hear(NOW + SILENT_US + HOLD_US, i, hello(i, beat=2, age_s=2))
+    assert verdict.tick(NOW + SILENT_US + HOLD_US + 1, peers) and verdict.now_is is Happened.WHOLE
+
+
+# The gap
+
+
+def test_copies_younger_than_the_gaps_beginning_could_still_be_older_than_a_purge():
+    # Dark from 0 to 10; a copy leaves the origin at 4, the purge is told at 6. Counted from the beginning the
+    # copy would do; counted from the end, where this life began, it does not.
+    dark_from, copy, purge, began = NOW, NOW + 4 * SECOND, NOW + 6 * SECOND, NOW + 10 * SECOND
+    gap = Gap(began)
+    assert dark_from <= copy < purge and copy < gap.oldest_us
+
+
+def test_the_gap_is_covered_by_the_stream_and_a_list_or_by_two_peers_that_were_up():
+    gap = Gap(NOW)
+    gap.stream_heard()
+    assert gap.oldest_us == NOW
+    gap.whole_list()
+    assert gap.oldest_us == 0 and gap.covered_by == "coordinator"
+    gap, peers = Gap(NOW), Peers(0, 4, 7)
+    for i, more in ((1, {"age_s": 100}), (2, {"age_s": 100, "covered": False}), (3, {"age_s": 0})):
+        peers.hear(NOW, i, hello(i, **more))
+        gap.peer_gave_all(i, peers)
+    assert not gap.covered, "one was up and covered; the others were not"
+    peers.hear(NOW, 2, hello(2, beat=2, age_s=100))
+    gap.peer_gave_all(2, peers)
+    assert gap.covered_by == "peers 1 2"
+
+
+# The share
+
+
+def test_the_rate_grows_while_all_is_well_stands_while_calls_queue_and_halves():
+    share, now = Share(40, 400, NOW), NOW
+    for _ in range(3):
+        now += STEP_US
+        for _ in range(60):
+            share.asked()
+            share.ended(now, True, 40_000)
+        assert share.tick(now, 1.0)
+    grown = share.rate
+    assert grown == pytest.approx(40 * 1.6**3)
+    now += STEP_US + SECOND
+    for _ in range(60):
+        share.asked()
+        share.ended(now, True, 700_000)
+    assert not share.tick(now, 1.0) and share.rate == grown, "it queues: not pushed"
+    for _ in range(50):
+        share.ended(now, False, 1_000)
+    assert share.tick(now, 1.0) and share.rate == grown / 2 and not share.tick(now + 1, 1.0)
+    assert share.tick(now + BACK_US - 1, 1.0) is False
+
+
+def test_a_director_that_sees_too_few_calls_goes_by_what_others_saw():
+    share = Share(40, 400, NOW)
+    share.asked()
+    share.ended(NOW, False, 1_000)
+    assert not share.unwell(NOW)
+    for i in range(1, 5):
+        share.heard(i, Outcomes(NOW, 40, 2, 1, 0, 40_000))
+    assert share.unwell(NOW) and share.tick(NOW + BACK_US, 0.01) and share.rate == 20
+    assert not share.unwell(NOW + 3 * SECOND), "their word fades"
+
+
+def test_nobody_runs_ahead_of_the_others_median_and_all_are_free_together():
+    share = Share(100, 400, NOW)
+    for i in range(1, 4):
+        share.heard(i, Outcomes(NOW + STEP_US, 50, 5, 0, 0, 40_000))
+    share.tick(NOW + STEP_US, 1.0)
+    assert share.rate == 62.5
+    for i in range(1, 4):
+        share.heard(i, Outcomes(NOW + 2 * STEP_US, 0, 5, 0, 0, 40_000))
+    share.tick(NOW + 2 * STEP_US, 1.0)
+    assert share.rate is None
+
+
+def test_a_part_is_never_under_one_of_all():
+    share = Share(40, 400, NOW)
+    assert share.part(5, 10, True) == 0.2 and share.part(5, 10, False) == 0.1
+    assert share.part(99, 10, True) == 0.1 and share.part(0, 10, True) == 1
+
+
+# The sequence
+
+WELL = Facts(Happened.WHOLE, True, True, 1.0, 0.0, 1.0, True, True, 1.0)
+
+
+def replaced(facts, **changes):
+    return Facts(**{**{n: getattr(facts, n) for n in facts.__slots__}, **changes})
+
+
+def test_stages_come_in_order_each_after_its_floor():
+    s, now, seen = Sequence(Plan(), NOW), NOW, []
+    while s.stage is not Stage.SERVING:
+        now += 50_000
+        if s.tick(now, WELL):
+            seen.append((s.stage, now - NOW))
+    assert [stage for stage, _ in seen] == list(Stage)[1:]
+    assert seen[-1][1] <= 2 * SECOND and all(b[1] - a[1] >= 300_000 for a, b in zip(seen, seen[1:], strict=False))
+
+
+def test_alone_no_floor_holds_anything_back():
+    s, facts = Sequence(Plan(), NOW), replaced(WELL, happened=Happened.ALONE, up_share=0.1, serving_share=0.0)
+    for i in range(5):
+        assert s.tick(NOW + i, facts)
+    assert s.stage is Stage.SERVING
+
+
+def test_what_is_wanted_gives_way_to_its_deadline_and_what_is_needed_does_not():
+    s = Sequence(Plan(), NOW)
+    few = replaced(WELL, up_share=0.2)
+    assert not s.tick(NOW + 4 * SECOND, few) and s.waits == "50% of the fleet, 20% there"
+    assert s.tick(NOW + 5 * SECOND, few) and s.late == ["writes without 50% of the fleet, 20% there"]
+    s = Sequence(Plan(), NOW)
+    assert not s.tick(NOW + 999 * SECOND, replaced(WELL, has_origin=False))
+    assert s.waits == "a list that names the origin"
+
+
+def test_a_stage_is_left_backwards_and_not_entered_again_at_once():
+    s, now = Sequence(Plan(), NOW), NOW
+    while s.stage is not Stage.FILLS:
+        now += 100_000
+        s.tick(now, replaced(WELL, unlimited=False))
+    assert s.tick(now, replaced(WELL, origin_bad=0.9)) and s.stage is Stage.WRITES
+    assert not s.tick(now + SECOND, WELL) and s.tick(now + 2 * SECOND, WELL) and s.stage is Stage.READS
+    assert s.tick(now, replaced(WELL, has_origin=False)) and s.stage is Stage.LISTENING
+
+
+def test_an_operator_holds_and_skips():
+    s = Sequence(Plan(), NOW)
+    s.held = True
+    assert not s.tick(NOW + 99 * SECOND, WELL) and s.waits == "an operator's order"
+    s.held = False
+    s.skip()
+    assert s.tick(NOW + 1, replaced(WELL, up_share=0.0)) and not s.tick(NOW + 2, replaced(WELL, origin_bad=0.5))
+
+
+# The machine
+
+
+def director(count=4, kept=(), boot=1, now=NOW, **more):
+    config = machine.Config(0, count, "f", 7, ((True, 8.0, 1.0), (False, 1.0, 1.0), (False, 2.0, 4.0)), 0, PARENT,
+                            ORIGIN, 6 * SECOND, **more)
+    d = machine.Director(config, now, boot, 77, kept)
+    d.started_with = d.begin(now)
+    return d
+
+
+def entry(name, state=MemberState.READY, kind=0, started=0):
+    return Entry(Member(int.from_bytes(name.encode(), "big"), kind=kind, state=state, started_us=started), name,
+                 ("127.0.0.1", 1))
+
+
+def listed(revision, *entries, complete=True):
+    return machine.RosterTold(RosterChange(complete, revision, [*entries, entry("records", kind=ORIGIN)]))
+
+
+def passed(actions):
+    return {e.name: e.member for a in actions if type(a) is machine.Members for e in a.change.entries}
+
+
+def test_an_old_drain_binds_until_a_list_that_is_no_older_says_otherwise():
+    drain = rows.write((int(MemberState.DRAINING), 9))
+    d = director(kept=(("drain", "c0", drain, NOW - SECOND),))
+    assert passed(d.feed(NOW, listed(7, entry("c0"))))["c0"].state is MemberState.DRAINING
+    found = d.feed(NOW, listed(9, entry("c0")))
+    assert passed(found)["c0"].state is MemberState.READY
+    assert machine.Forget("drain", "c0") in found
+
+
+def test_a_drain_past_its_bound_is_lifted_and_one_from_the_future_is_counted_from_now():
+    drain = rows.write((int(MemberState.DRAINING), 9))
+    d = director(kept=(("drain", "c0", drain, NOW + 3600 * SECOND), ("drain", "c1", drain, NOW - 700 * SECOND)))
+    found = passed(d.feed(NOW, listed(7, entry("c0"), entry("c1"))))
+    assert found["c0"].state is MemberState.DRAINING and found["c1"].state is MemberState.READY
+    later = NOW + 601 * SECOND
+    assert passed(d.feed(later, machine.Tick()))["c0"].state is MemberState.READY
+
+
+def test_all_members_are_cold_until_this_director_is_known_to_have_been_alone():
+    d = director()
+    found = passed(d.feed(NOW, listed(1, entry("c0"), entry("c1", started=NOW + 5))))
+    assert found["c0"].started_us == NOW and found["c1"].started_us == NOW + 5 and found["records"].started_us == 0
+    for i in (1, 2, 3):
+        found = passed(d.feed(NOW + SECOND, machine.Datagram(i, wire.encode(hello(i)))))
+        assert bool(found) == (i == 3)
+    assert found["c0"].started_us == 0 and d.sequence.stage is Stage.SERVING, "at once, without a beat"
+
+
+def test_purges_from_before_bind_at_once_and_those_past_their_time_do_not():
+    d = director(kept=(("purge", "o ff", rows.write((NOW - SECOND) // 1000), NOW - SECOND),
+                       ("purge", "g 17", rows.write(1), NOW - 60 * SECOND)))
+    learnt = [a.purge for a in d.started_with if type(a) is machine.PurgeLearnt]
+    assert learnt == [Purge(0xFF, 0, (NOW - SECOND) // 1000 * 1000)]
+
+
+def test_a_drain_told_by_one_peer_is_not_taken_and_by_two_it_is():
+    d = director()
+    d.feed(NOW, listed(1, entry("c0")))
+    row = ("c0", rows.write((int(MemberState.DRAINING), 5)))
+    for i in (1, 2):
+        d.feed(NOW, machine.Datagram(i, wire.encode(hello(i, life=i))))
+        piece = wire.Piece(wire.fleet_number("f"), i, i, wire.KINDS.index("drain"), (row,), False)
+        found = passed(d.feed(NOW, machine.Datagram(i, wire.encode(piece))))
+        assert bool(found) == (i == 2)
+    assert found["c0"].state is MemberState.DRAINING
+
+
+def test_our_boot_number_goes_above_what_a_peer_knows_of_us():
+    d = director(boot=3)
+    found = d.feed(NOW, machine.Datagram(1, wire.encode(hello(1, yours=(40, 9)))))
+    assert machine.BootRaised(41) in found and d.boot == 41
+    assert not any(type(a) is machine.BootRaised for a in
+                   d.feed(NOW, machine.Datagram(1, wire.encode(hello(1, beat=2, yours=(2**40, 9))))))
+
+
+def test_an_order_of_an_older_life_does_not_win_against_a_newer_one():
+    old = director(boot=2)
+    value = next(a.value for a in old.feed(NOW, machine.OrderGiven("c0", "drain", "kim")) if type(a) is machine.Keep)
+    d = director(boot=5)
+    d.feed(NOW, machine.OrderGiven("c0", "ready", "kim"))
+    d.feed(NOW, machine.Datagram(1, wire.encode(hello(1))))
+    piece = wire.Piece(wire.fleet_number("f"), 1, 5, 0, (("0/c0", value),), False)
+    assert d.feed(NOW, machine.Datagram(1, wire.encode(piece))) == []
+    assert d.rows["order"].get("0/c0")[0] == "ready"
+
+
+def test_datagrams_are_bounded_by_a_budget_whatever_others_ask():
+    d, sent = director(count=40), 0
+    d.feed(NOW, machine.Datagram(1, wire.encode(hello(1))))
+    ask = wire.encode(wire.Ask(wire.fleet_number("f"), 1, 5, 0, ""))
+    for i in range(1000):
+        sent += sum(type(a) is machine.Send for a in d.feed(NOW + i * 1000, machine.Datagram(1, ask)))
+    assert sent <= machine.BURST + machine.BUDGET + 1 and d.silenced > 900
+
+
+# The decision module under limits
+
+
+def test_the_module_refuses_a_closed_class_at_once_with_spread_times():
+    from rookbend import Router, Settings
+    from rookbend.interface import Refuse, TrafficClass
+    classes = tuple(TrafficClass(n, 600_000, 2_000_000) for n in ("a", "b"))
+    router = Router(Settings(classes=classes, retry_after=True, max_retry_after_us=500_000, max_open=100), seed=3)
+    router.handle(0, Limited(frozenset({1}), 5.0))
+    waits = []
+    for i in range(1, 40):
+        action, = router.handle(i, RequestArrived(i, 1, 7, 2_000_000))
+        assert type(action) is Refuse
+        waits.append(action.retry_after_us)
+    assert min(waits) >= 250_000 and max(waits) <= 500_000 and len(set(waits)) > 20
+
+
+# The whole fleet in simulated time
+
+
+def test_a_fleet_of_any_size_returns_without_pushing_its_origin_over():
+    for count in (3, 40):
+        sim = FleetSim(count, world=World(demand=500))
+        sim.power_on()
+        sim.run(15 * SECOND)
+        sim.power_off()
+        sim.go_cold()
+        sim.origin.falls, sim.origin.most = 0, 0.0
+        sim.run(SECOND)
+        sim.power_on()
+        sim.run(45 * SECOND)
+        assert sim.stages() == {"serving": count} and sim.origin.falls == 0 and sim.origin.most < 0.95
+        most = max(sim.datagrams.values()) / count
+        assert most <= machine.BUDGET + machine.BURST
+
+
+def test_the_same_rush_without_recovery_does_push_it_over():
+    sim = FleetSim(40, world=World(demand=500), recovery=False)
+    sim.power_on()
+    sim.run(20 * SECOND)
+    assert sim.origin.falls > 0, "a check that could not fail"
+
+
+def test_a_single_restart_in_a_well_fleet_is_ready_at_once():
+    sim = FleetSim(10, world=World(demand=100))
+    sim.power_on()
+    sim.run(40 * SECOND)
+    sim.power_off(3)
+    sim.run(2 * SECOND)
+    sim.power_on(3, spread_us=1)
+    sim.run(SECOND)
+    assert sim.nodes[3].machine.verdict.now_is is Happened.ALONE and sim.stages() == {"serving": 10}
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Losses, cuts, frozen directors, old and lost disks, drains and orders, in any order."""
+
+    @initialize(count=st.sampled_from([3, 5, 9]), seed=st.integers(0, 99), loss=st.sampled_from([0.0, 0.3]))
+    def begin(self, count, seed, loss):
+        self.sim = FleetSim(count, seed, World(demand=20), loss=loss, double=loss, late_us=20_000)
+        self.random = random.Random(seed)
+        self.sim.power_on()
+        self.sim.run(2 * SECOND)
+        self.copies, self.confirmed, self.drained = {}, {}, set()
+
+    def some(self, part):
+        return self.random.sample(range(self.sim.count), max(1, int(part * self.sim.count)))
+
+    @rule(part=st.sampled_from([0.3, 1.0]), dark=st.sampled_from([1, 5]))
+    def lose_power(self, part, dark):
+        chosen = self.some(part)
+        self.sim.power_off(*chosen)
+        self.sim.run(dark * SECOND)
+        self.sim.power_on(*chosen)
+
+    @rule(for_s=st.sampled_from([1, 3]))
+    def go_on(self, for_s):
+        self.sim.run(for_s * SECOND)
+
+    @rule()
+    def split(self):
+        half = self.sim.count // 2
+        self.sim.cut = {(a, b) for a in range(self.sim.count) for b in range(self.sim.count)
+                        if (a < half) != (b < half)}
+
+    @rule()
+    def heal(self):
+        self.sim.cut = set()
+
+    @rule(frozen=st.booleans())
+    def freeze(self, frozen):
+        self.sim.freeze(0, frozen)
+
+    @rule(away=st.booleans())
+    def coordinator(self, away):
+        self.sim.coordinator = not away
+
+    @rule(number=st.sampled_from([0, 1, 2]))
+    def back_up(self, number):
+        self.copies[number] = self.sim.copy_disk(number)
+
+    @rule(number=st.sampled_from([0, 1, 2]))
+    def order(self, number):
+        node = self.sim.nodes[number]
+        if node.machine is not None and not node.is_frozen:
+            word = self.random.choice(["drain", "maintain", "ready"])
+            self.sim.order(number, "c1", word)
+            self.confirmed[number] = word
+
+    @rule(number=st.sampled_from([1, 2]))
+    def old_disk(self, number):
+        """Last week's disk is put back: what was ordered since is with the peers alone."""
+        if number in self.copies and self.sim.nodes[number].machine is not None:
+            self.sim.run(3 * SECOND)
+            self.sim.power_off(number)
+            self.sim.restore_disk(number, self.copies[number])
+            self.confirmed.pop(number, None)    # what the peers hold may be newer, or not have reached them
+            self.sim.power_on(number)
+
+    @rule()
+    def drain(self):
+        if self.sim.coordinator and all(n.machine is not None and not n.is_frozen for n in self.sim.nodes):
+            self.sim.drain("c0")
+            self.drained = {n.number for n in self.sim.nodes}
+
+    @invariant()
+    def no_boot_number_and_life_repeat(self):
+        told = [pair for node in self.sim.nodes for pair in [(node.number, *life) for life in node.lives]]
+        assert len(told) == len(set(told))
+
+    @invariant()
+    def a_drain_that_was_told_binds(self):
+        for number in self.drained:
+            held = self.sim.nodes[number].members.get("c0")
+            assert held is None or held.member.state is not MemberState.READY, number
+
+    @invariant()
+    def a_confirmed_order_stands_after_any_return(self):
+        for number, word in self.confirmed.items():
+            m = self.sim.nodes[number].machine
+            assert m is None or m.rows["order"].get(f"{number}/c1")[0] == word
+
+    def teardown(self):
+        """Once its surroundings are well, the fleet ends serving."""
+        if not hasattr(self, "sim"):
+            return
+        sim = self.sim
+        sim.cut, sim.coordinator, sim.loss = set(), True, 0.0
+        sim.freeze(0, False)
+        sim.power_on()
+        for _ in range(20):
+            sim.run(5 * SECOND)
+            if sim.stages() == {"serving": sim.count}:
+                break
+        assert sim.stages() == {"serving": sim.count}, [
+            (n.number, n.machine.sequence.stage.name, n.machine.sequence.waits) for n in sim.nodes if n.machine]
+        numbers = [b for b, _ in sim.nodes[0].lives]
+        assert numbers == sorted(set(numbers)), "an untouched disk's numbers grow"
+
+
+FleetMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=16, deadline=None)
+TestFleet = FleetMachine.TestCase
