--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -167,7 +167,12 @@
         told[name] = now
         while (oldest := next(iter(told))) != name and told[oldest] < now - 2 * self.settings.purge_takes_us:
             del told[oldest]
-        self._post(api.Purged(purge.object_id or 0, purge.group, max(0, now - purge.unix_us)))
+        age = max(0, now - purge.unix_us)
+        if self.settings.purge_takes_us and age > self.settings.purge_takes_us:
+            # Guards against a system clock that is ahead: by it every purge is too old to matter, and older
+            # copies were served. One so late counts as made now: that is stricter, never less.
+            age = 0
+        self._post(api.Purged(purge.object_id or 0, purge.group, age))
 
     def limit(self, closed: frozenset[int], per_s: float | None) -> None:
         """Limits for the module: see `interface.Limited`."""
--- a/rookbend/lab/stage/boxes.py
+++ b/rookbend/lab/stage/boxes.py
@@ -59,6 +59,16 @@
     waited_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A copy that a member has sent to a director."""
+
+    at_us: int
+    key: str
+    t0_us: int
+    member: str
+
+
 class World:
     """What all members share: the record, who they are, when each thing was last purged, executions."""
 
@@ -67,6 +77,7 @@
         self.members: dict[str, Box] = {}
         self.purged_objects: dict[str, int] = {}
         self.purged_groups: dict[int, int] = {}
+        self.copies: deque[Sent] = deque(maxlen=100_000)
         self.ran: dict[str, list[str]] = {}         # submission: the ids under which the origin ran it
         self.purge_takes_s = 5.0        # members drop older copies by themselves, each in its own time
 
@@ -348,6 +359,8 @@
             fields += [f"sum={digest(body)}", f"t0={got.copy.t0_us // 1000}"]
         if got.waited_s:
             fields.append(f"slow={got.waited_s * 1000:.0f}")
+        if got.copy is not None:
+            self.world.copies.append(Sent(now_us(), key, got.copy.t0_us, self.name))
         work.told = True
         self.record.see(Done(now_us(), rid, self.name, got.word in ("ok", "error"), got.copy is not None,
                              got.copy.t0_us if got.copy is not None else 0, digest(body)))
--- a/rookbend/lab/stage/coordinator.py
+++ b/rookbend/lab/stage/coordinator.py
@@ -23,12 +23,13 @@
     def __init__(self, world: World, address_of: Callable[[str, str], str]):
         """`address_of(director, member)` is where that director reaches that member."""
         self.world, self.record, self.address_of = world, world.record, address_of
-        self.index, self.revision = 0, 0
+        self.index, self.revision = 1, 1      # the first event is the whole list
         self.events: list[tuple[int, dict]] = []        # the worded event, without addresses
         self.phases: dict[str, str] = {}
         self.purges: list[tuple[int, dict]] = []
         self.away = False
         self.calls: dict[str, int] = {}
+        self.told: dict[str, int] = {}      # the last event that each director's stream has carried
         self._changed = trio.Event()
         self._streams: dict[str, trio.SocketStream] = {}
 
@@ -87,6 +88,7 @@
         lines = [self._line(b) for b in self.world.members.values()]
         whole = {"endpoints": {"revision": self.revision, "complete": True, "members": lines}}
         recent = [event for at, event in self.purges if at > now_us() - purge_life_us]
+        self.told[director] = self.index
         self.record_told(director, whole)
         for event in recent:
             self.record_told(director, event)
@@ -116,6 +118,11 @@
         self.away = False
         self.record.note("fault", "coordinator", "back")
 
+    async def _write(self, stream, director: str, index: int, event: dict) -> None:
+        data = json.dumps({"index": index, **self._for(director, event)})
+        await stream.send_all(f"id: {index}\ndata: {data}\n\n".encode())
+        self.record_told(director, event)
+
     async def _serve(self, director: str, stream: trio.SocketStream) -> None:
         self.calls[director] = self.calls.get(director, 0) + 1
         self.record.note("coordinator call", director)
@@ -127,13 +134,19 @@
                          if line.startswith("last-event-id:")), 0)
             await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n")
             self._streams[director] = stream
+            if not last:
+                # To one that knows nothing, the first event is the whole list.
+                lines = [self._line(b) for b in self.world.members.values()]
+                whole = {"endpoints": {"revision": self.revision, "complete": True, "members": lines}}
+                await self._write(stream, director, 1, whole)
+                for _, event in self.purges:
+                    await self._write(stream, director, 1, event)
+                last = self.told[director] = self.index
             while True:
                 due = [(i, e) for i, e in self.events if i > last]
                 for index, event in due:
-                    data = json.dumps({"index": index, **self._for(director, event)})
-                    await stream.send_all(f"id: {index}\ndata: {data}\n\n".encode())
-                    self.record_told(director, event)
-                    last = index
+                    await self._write(stream, director, index, event)
+                    last = self.told[director] = index
                 changed = self._changed
                 if not due:
                     with trio.move_on_after(1.0):
--- a/rookbend/lab/stage/scene.py
+++ b/rookbend/lab/stage/scene.py
@@ -207,6 +207,16 @@
             decoded = {"text": found.decode()}
         return {**decoded, "status": status}
 
+    async def until_told(self, name: str, path: str, holds: Callable[[dict], bool]) -> dict:
+        """Asks a director's listener again and again until the answer is as wanted. Raises `Hung`."""
+        with trio.move_on_after(HANG_S):
+            while True:
+                found = await self.ask(name, path)
+                if holds(found):
+                    return found
+                await trio.sleep(0.02)
+        raise Hung(f"{name} never answered {path} as wanted; last:\n{found}\n{self.report()}")
+
     # Faults
 
     def power_off(self, *names: str) -> None:
--- a/rookbend/net/recovery.py
+++ b/rookbend/net/recovery.py
@@ -32,6 +32,13 @@
         wanted.first_rate, wanted.full_rate, wanted.peers)
 
 
+class Promise:
+    """An order on its way to the disk."""
+
+    def __init__(self):
+        self.ended, self.safe = trio.Event(), False
+
+
 class RecoveryPart(Part):
     def __init__(self, site: Site):
         self.site, self.engine, self.log = site, site.engine, site.log
@@ -49,7 +56,7 @@
         self.orders: dict[str, tuple[str, str]] = {}        # member: (order, by), for members to come
         self.sent = 0
         self._due_earlier = trio.Event()
-        self._promises: dict[str, trio.Event] = {}
+        self._promises: dict[str, Promise] = {}
         site.admits = lambda: self.limits is not None and self.limits.ready
         self._pass_on, site.watch.roster_changed = site.watch.roster_changed, self._roster_changed
         site.watch.purged = self._purged
@@ -164,21 +171,20 @@
     # Operators
 
     def _kept(self, key: str, safe: bool) -> None:
-        waiting = self._promises.pop(key, None)
-        if waiting is not None:
-            waiting.safe = safe
-            waiting.set()
+        promise = self._promises.pop(key, None)
+        if promise is not None:
+            promise.safe = safe
+            promise.ended.set()
 
     async def order(self, member: str, order: str, by: str) -> str:
         """Gives an order that outlives the director; "" once it is safe, or why it is refused."""
         key = f"{self.rules.me}/{member}"
         while key in self._promises:
-            await self._promises[key].wait()
-        waiting = self._promises[key] = trio.Event()
-        waiting.safe = False
+            await self._promises[key].ended.wait()
+        promise = self._promises[key] = Promise()
         self.feed(machine.OrderGiven(member, order, by))
-        await waiting.wait()
-        if not waiting.safe:
+        await promise.ended.wait()
+        if not promise.safe:
             self.machine.take_back(key)
             return f"not durable: {self.state.ledger.fault or 'the disk refused'}"
         return ""
--- a/rookbend/recovery/director.py
+++ b/rookbend/recovery/director.py
@@ -649,6 +649,7 @@
             "fleet_rate": None if self.share.rate is None else round(self.share.rate, 2),
             "our_rate": self.limits.rate if self.limits else None,
             "closed": sorted(self.limits.closed) if self.limits else [], "drains": sorted(self.drained_at),
+            "digests": {kind: rows.digest for kind, rows in self.rows.items()},
             "boot": self.boot, "revision": self.revision, "refused": dict(self.peers.refused),
             "unreadable": self.unreadable, "silenced": self.silenced}
 
--- a/rookbend/state/disk.py
+++ b/rookbend/state/disk.py
@@ -26,6 +26,7 @@
 CREATE TABLE meta(name TEXT PRIMARY KEY, value) WITHOUT ROWID;
 CREATE TABLE rows(kind TEXT, key TEXT, at INTEGER, value BLOB, PRIMARY KEY(kind, key)) WITHOUT ROWID;
 """
+REASONS = (apsw.FullError, "disk full"), (apsw.ReadOnlyError, "read-only")
 WAL_PAGES = 256                     # a checkpoint follows so many pages: bounds the file beside
 
 
@@ -119,20 +120,24 @@
 
     def write(self, batch: Batch) -> str:
         """One transaction, synced; "" or why it failed."""
+        db = self._db
         try:
-            with self._db:
-                self._db.executemany(
-                    "INSERT OR REPLACE INTO rows VALUES(?, ?, ?, ?)",
-                    [(*key, row.at_us, row.value) for key, row in batch.changes.items() if row is not None])
-                self._db.executemany("DELETE FROM rows WHERE kind=? AND key=?",
-                                     [key for key, row in batch.changes.items() if row is None])
+            db.execute("BEGIN IMMEDIATE")
+            db.executemany("INSERT OR REPLACE INTO rows VALUES(?, ?, ?, ?)", [
+                (*key, row.at_us, row.value) for key, row in batch.changes.items() if row is not None])
+            db.executemany("DELETE FROM rows WHERE kind=? AND key=?",
+                           [key for key, row in batch.changes.items() if row is None])
+            db.execute("COMMIT")
             return ""
-        except apsw.FullError:
-            return "disk full"
-        except apsw.ReadOnlyError:
-            return "read-only"
         except apsw.Error as error:
-            return f"{type(error).__name__.removesuffix('Error').lower()}: {error}"
+            # SQLite has rolled back by itself where the disk was full: asked again, it would hide the reason.
+            if db.in_transaction:
+                try:
+                    db.execute("ROLLBACK")
+                except apsw.Error:
+                    pass        # the next batch begins by rolling back what is left
+            named = [reason for kind, reason in REASONS if isinstance(error, kind)]
+            return named[0] if named else f"{type(error).__name__.removesuffix('Error').lower()}: {error}"
 
     def close(self) -> None:
         db = getattr(self, "_db", None)
