--- a/rookbend/lab/demo.py
+++ b/rookbend/lab/demo.py
@@ -9,6 +9,7 @@
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass
+from importlib.util import find_spec
 from pathlib import Path
 
 import trio
@@ -17,6 +18,13 @@
 from rookbend.lab.stage.record import now_us
 
 BEAT_S = 0.5
+RECOVERY = "[recovery]\n fleet demo\n"
+STATE = "[state]\n folder {state}\n fleet demo\n"
+
+
+def default_operators() -> str:
+    """Recovery on, and a disk where the library for it is there."""
+    return RECOVERY + (STATE if find_spec("apsw") else "")
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +38,7 @@
     calm_s: float = 8.0         # from the first admission to the loss
     dark_s: float = 2.0
     after_s: float = 20.0       # from the return to the report
-    operators: str = ""
+    operators: str | None = None        # None: `default_operators`
 
 
 class Demo:
@@ -43,8 +51,9 @@
     async def run(self, keep: Path | None = None) -> dict:
         """The report: see `report`. `keep` is a folder for configurations and logs."""
         plan = self.plan
+        operators = default_operators() if plan.operators is None else plan.operators
         with tempfile.TemporaryDirectory(prefix="rookbend-demo-") as folder:
-            async with stage(plan.directors, plan.caches, 1, plan.seed, plan.operators, plan.rate,
+            async with stage(plan.directors, plan.caches, 1, plan.seed, operators, plan.rate,
                              folder=keep or Path(folder)) as scene, trio.open_nursery() as nursery:
                 nursery.start_soon(self._show, scene)
                 await scene.start()
