Let an order stand, and go to peers, only once it is safe on disk

Need: read again, an order went into the rows that peers ask for before the disk had it. Where the disk then refused, the older order of the same member was gone from memory, and a peer that had taken the new one would have given the refused order back. Change: recovery/director.py holds it back until OrderKept; nothing is taken back any more. Measured: 51 tests of the pure parts and the three process cases of orders pass; the test of the rows fails with the order put at once.

--- a/rookbend/lab/fleetsim.py
+++ b/rookbend/lab/fleetsim.py
@@ -241,6 +241,8 @@
                 self._send(node.number, a.peer, a.data)
             elif kind is machine.Keep:
                 node.disk.put(self.now, a.kind, a.key, a.value)
+                if a.promised:
+                    self._feed(node.number, machine.OrderKept(a.key, a.value))
             elif kind is machine.Forget:
                 node.disk.drop(a.kind, a.key)
             elif kind is machine.LimitsSet and self.recovery:
--- a/rookbend/net/recovery.py
+++ b/rookbend/net/recovery.py
@@ -131,9 +131,9 @@
     def _keep(self, a: machine.Keep) -> None:
         if self.state is None:
             if a.promised:
-                self._kept(a.key, True)     # no disk: the order ends with the director, as ever
+                self._kept(a, True)     # no disk: the order lasts as long as somebody of the fleet does
             return
-        done = (lambda safe: self._kept(a.key, safe)) if a.promised else None
+        done = (lambda safe: self._kept(a, safe)) if a.promised else None
         self.state.put(a.kind, a.key, a.value, done)
 
     def _forget(self, a: machine.Forget) -> None:
@@ -170,8 +170,10 @@
 
     # Operators
 
-    def _kept(self, key: str, safe: bool) -> None:
-        promise = self._promises.pop(key, None)
+    def _kept(self, a: machine.Keep, safe: bool) -> None:
+        if safe:
+            self.feed(machine.OrderKept(a.key, a.value))
+        promise = self._promises.pop(a.key, None)
         if promise is not None:
             promise.safe = safe
             promise.ended.set()
@@ -185,7 +187,6 @@
         self.feed(machine.OrderGiven(member, order, by))
         await promise.ended.wait()
         if not promise.safe:
-            self.machine.take_back(key)
             return f"not durable: {self.state.ledger.fault or 'the disk refused'}"
         return ""
 
--- a/rookbend/recovery/director.py
+++ b/rookbend/recovery/director.py
@@ -103,6 +103,14 @@
     by: str
 
 
+@dataclass(slots=True)
+class OrderKept:
+    """An order that was given is safe, or there is no disk to wait for: from here on it stands."""
+
+    key: str
+    value: bytes
+
+
 @dataclass(slots=True)
 class Command:
     """An operator's: hold, resume, skip."""
@@ -110,7 +118,8 @@
     word: str
 
 
-Event = Tick | Datagram | RosterTold | PurgeTold | StreamHeard | CallMade | CallEnded | OrderGiven | Command
+Event = Tick | Datagram | RosterTold | PurgeTold | StreamHeard | CallMade | CallEnded | OrderGiven \
+    | OrderKept | Command
 
 # Actions
 
@@ -453,13 +462,11 @@
         key = f"{self.config.me}/{event.member}"
         # Above all of our own from before: the boot number leads, and only grows.
         value = kept.write((event.order, event.by, (self.boot << 24) + self.sequence_of_orders))
-        self.rows["order"].drop(key)
-        self.rows["order"].put(key, value)
         self.out.append(Keep("order", key, value, True))
 
-    def take_back(self, key: str) -> None:
-        """An order that could not be made safe was refused: it does not stand here either."""
-        self.rows["order"].drop(key)
+    def _order_kept(self, now: int, event: OrderKept) -> None:
+        # Only now: a peer that had taken an order which the disk then refuses would give it back to us.
+        self.rows["order"].put(event.key, event.value)
 
     def _order_stands(self, key: str) -> None:
         owner, member = key.split("/", 1)
@@ -664,5 +671,6 @@
 HANDLERS = {
     Tick: Director._tick, Datagram: Director._datagram, RosterTold: Director._roster,
     PurgeTold: Director._purge_told, StreamHeard: Director._stream, CallMade: Director._call_made,
-    CallEnded: Director._call_ended, OrderGiven: Director._order_given, Command: Director._command,
+    CallEnded: Director._call_ended, OrderGiven: Director._order_given, OrderKept: Director._order_kept,
+    Command: Director._command,
 }
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -377,7 +377,9 @@
     old = director(boot=2)
     value = next(a.value for a in old.feed(NOW, machine.OrderGiven("c0", "drain", "kim")) if type(a) is machine.Keep)
     d = director(boot=5)
-    d.feed(NOW, machine.OrderGiven("c0", "ready", "kim"))
+    kept, = d.feed(NOW, machine.OrderGiven("c0", "ready", "kim"))
+    assert d.rows["order"].get("0/c0") is None, "nothing stands, nor goes to a peer, before it is safe"
+    d.feed(NOW, machine.OrderKept(kept.key, kept.value))
     d.feed(NOW, machine.Datagram(1, wire.encode(hello(1))))
     piece = wire.Piece(wire.fleet_number("f"), 1, 5, 0, (("0/c0", value),), False)
     assert d.feed(NOW, machine.Datagram(1, wire.encode(piece))) == []
