Build a Hello in one place, take a free port and an address apart by one function each

Need: a second reading of the change found pieces written twice. Change: recovery/director.py makes a Hello for a beat and for an answer by one method; the stage uses protocol/events.py's split_address and lab/fleet.py's free_port, which takes host and kind; net/recovery.py loses a constant nobody read and an import made anew for each datagram. Behaviour is unchanged.

--- a/rookbend/lab/fleet.py
+++ b/rookbend/lab/fleet.py
@@ -12,6 +12,7 @@
 import os
 import random
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -219,9 +220,9 @@
                     await trio.to_thread.run_sync(node.stop)
 
 
-def free_port() -> int:
-    import socket
-    with socket.create_server(("127.0.0.1", 0)) as sock:
+def free_port(host: str = "127.0.0.1", kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind((host, 0))
         return sock.getsockname()[1]
 
 
--- a/rookbend/lab/stage/scene.py
+++ b/rookbend/lab/stage/scene.py
@@ -28,7 +28,7 @@
 import trio
 
 from rookbend.lab import timeline
-from rookbend.lab.fleet import SETTINGS
+from rookbend.lab.fleet import SETTINGS, free_port
 from rookbend.lab.rules import Limits
 from rookbend.lab.stage import disk
 from rookbend.lab.stage.boxes import CACHE, ORIGIN, PARENT, Box, Make, World
@@ -38,6 +38,7 @@
 from rookbend.lab.stage.record import Record
 from rookbend.lab.stage.relay import TcpRelay, UdpRelay, Ways
 from rookbend.lab.worth import earned
+from rookbend.protocol.events import split_address
 
 OPERATORS = """
 [log]
@@ -71,12 +72,6 @@
     return s
 
 
-def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 class Scene:
     def __init__(self, nursery: trio.Nursery, folder: Path, directors: int, caches: int, parents: int,
                  seed: int, operators: str | Callable[[str], str], rate: float, makes: dict[str, Make],
@@ -127,16 +122,11 @@
                 "listen": f"{self._host(name, 1)}:{free_port(self._host(name, 1))}",
                 "admin": f"{self._host(name, 2)}:{free_port(self._host(name, 2))}",
                 "peers": f"{self._host(name, 3)}:{free_port(self._host(name, 3), socket.SOCK_DGRAM)}"}
-        heard = {n: self._split(self.places[n]["peers"]) for n in self.names}
+        heard = {n: split_address(self.places[n]["peers"]) for n in self.names}
         self.peers = await UdpRelay(self.ways, self.record, heard, self.seed).listen(
             self.nursery, lambda name: self._host(name, 4))
         for name in self.names:
-            self.front.add(name, self._split(self.places[name]["listen"]), self.nursery)
-
-    @staticmethod
-    def _split(address: str) -> tuple[str, int]:
-        host, _, port = address.rpartition(":")
-        return host, int(port)
+            self.front.add(name, split_address(self.places[name]["listen"]), self.nursery)
 
     # Directors
 
@@ -189,7 +179,7 @@
             out += http.send(h11.Data(data=data))
         out += http.send(h11.EndOfMessage())
         found, status = b"", 0
-        async with await trio.open_tcp_stream(*self._split(self.places[name]["admin"])) as stream:
+        async with await trio.open_tcp_stream(*split_address(self.places[name]["admin"])) as stream:
             await stream.send_all(out)
             while True:
                 event = http.next_event()
--- a/rookbend/net/recovery.py
+++ b/rookbend/net/recovery.py
@@ -1,7 +1,8 @@
 """The driver of recovery: feeds the machine (`recovery.director`) what comes in, carries its actions out.
 
 The machine's clock is a monotonic one that began at the Unix time of the start: a system clock that is
-stepped while the director runs must not make its peers doubt its age, nor itself theirs. """
+stepped while the director runs must not make its peers doubt its age, nor itself theirs.
+"""
 
 from __future__ import annotations
 
@@ -12,13 +13,13 @@
 from rookbend.core.model import Attempt, Purge, Result, RosterChange
 from rookbend.interface import Note, Status
 from rookbend.net.part import Part, Site
+from rookbend.protocol.fleet import is_ours
 from rookbend.recovery import director as machine
 from rookbend.recovery.sequence import Plan
 
 LIFE_BITS = 40
 UNWELL_NOTES = (Note.SOURCE_REFUSED, Note.SOURCE_UNREACHABLE, Note.ORIGIN_FAILED)
 UNWELL = (Status.FULL, Status.TIMEOUT, Status.CONNECT_FAILED, Status.RESET, Status.ERROR)
-WORDS = "hold", "resume", "skip"
 COST_OF_PARTS = 4.0         # objects that come in parts are large: what one costs beside one that does not
 
 
@@ -94,8 +95,6 @@
 
     def _datagram(self, sender: int, data: bytes) -> bool:
         """Whether it is of this exchange, and not the module's."""
-        from rookbend.protocol.fleet import is_ours
-
         if not is_ours(data):
             return False
         self.feed(machine.Datagram(sender, data))
--- a/rookbend/recovery/director.py
+++ b/rookbend/recovery/director.py
@@ -492,16 +492,17 @@
             self.silenced += 1
 
     def _talk(self, now: int) -> None:
-        c, gossip = self.config, self.peers.gossip(now)
+        gossip = self.peers.gossip(now)
         self.beat += 1
-        digests = tuple(self.rows[kind].digest for kind in wire.KINDS)
-        origin = self._origin_word(now)
         for peer in self.peers.some(TALK_TO):
-            message = wire.Hello(
-                self._fleet, c.me, self.life, self.boot, self.beat, int(self.phase), int(self.sequence.stage),
-                (now - self.began_us) // 1000, self.gap.covered, self.revision, digests, origin,
-                self.peers.known_of(peer))
-            self._send(now, peer, wire.hello(message, gossip))
+            self._send(now, peer, wire.hello(self._hello_to(now, peer), gossip))
+
+    def _hello_to(self, now: int, peer: int) -> wire.Hello:
+        return wire.Hello(
+            self._fleet, self.config.me, self.life, self.boot, self.beat, int(self.phase),
+            int(self.sequence.stage), (now - self.began_us) // 1000, self.gap.covered, self.revision,
+            tuple(self.rows[kind].digest for kind in wire.KINDS), self._origin_word(now),
+            self.peers.known_of(peer))
 
     def _origin_word(self, now: int) -> tuple[int, int, int, int, int]:
         o = self.share.ours(now)
@@ -570,12 +571,7 @@
 
     def _answer(self, now: int, sender: int) -> None:
         """Tells a peer that is not believed which of its numbers we know."""
-        message = wire.Hello(
-            self._fleet, self.config.me, self.life, self.boot, self.beat, int(self.phase),
-            int(self.sequence.stage), (now - self.began_us) // 1000, self.gap.covered, self.revision,
-            tuple(self.rows[kind].digest for kind in wire.KINDS), self._origin_word(now),
-            self.peers.known_of(sender))
-        self._send(now, sender, wire.encode(message))
+        self._send(now, sender, wire.encode(self._hello_to(now, sender)))
 
     def _ask(self, now: int, peer: int, kind: int, after: str) -> None:
         if not after and now - self.asked_us.get((peer, kind), -ASK_US) < ASK_US:
