--- /dev/null
+++ b/benchmarks/recovery_cost.py
@@ -0,0 +1,85 @@
+"""What recovery and state cost a director that serves: CPU a request with all of it on, against off.
+
+    python -m benchmarks.recovery_cost [--quick | --smallest]
+
+One director of the stage at a time, caches warm, `RATE` requests a second; sides in turn, repeated: `off` as
+in `run`, `on` with [state], [recovery] and two peers that talk to it as a fleet of three does. Figures: CPU
+microseconds of the director's process (all its threads) an answer, their ratio, and its memory. Held fixed:
+the rate, the seed of a turn, the caches. The peers' CPU is not counted.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import statistics
+import sys
+import time
+
+import trio
+
+from benchmarks.measure import figures, machine, spread, table
+from rookbend.lab.stage import stage
+
+SIDES = {"off": "", "on": "[state]\n folder {state}\n fleet f1\n[recovery]\n fleet f1\n"}
+RATE = 200.0
+TICK = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(pid: int) -> float:
+    with open(f"/proc/{pid}/stat", encoding="ascii") as f:
+        fields = f.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICK
+
+
+def memory_mb(pid: int) -> float:
+    with open(f"/proc/{pid}/status", encoding="ascii") as f:
+        return next(int(line.split()[1]) for line in f if line.startswith("VmRSS")) / 1024
+
+
+async def turn(side: str, directors: int, seconds: float, seed: int) -> dict:
+    async with stage(directors, 3, 1, seed, SIDES[side], RATE) as scene:
+        await scene.start()
+        await scene.admitted()
+        if side == "on":
+            for node in scene.nodes.values():
+                await node.said("recovery_stage", stage="serving")
+        for name in scene.names[1:]:        # one director gets all the requests, the others only talk to it
+            scene.front.targets[name].admitted = False
+        await trio.sleep(seconds / 3)       # caches warm
+        pid = scene.nodes["n0"].process.pid
+        before, answers = cpu_s(pid), scene.record.count("answer")
+        await trio.sleep(seconds)
+        used, answers = cpu_s(pid) - before, scene.record.count("answer") - answers
+        return {"us": used / max(1, answers) * 1e6, "mb": memory_mb(pid), "answers": answers,
+                "late_ms": scene.front.late_s * 1000}
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.recovery_cost", description=__doc__.splitlines()[0])
+    parser.add_argument("--quick", action="store_true", help="two turns of 4 s a side, under 45 s")
+    parser.add_argument("--smallest", action="store_true", help="the least that runs; shows nothing")
+    args = parser.parse_args(argv)
+    directors = 1 if args.smallest else 3
+    turns, seconds = (1, 0.5) if args.smallest else (2, 4.0) if args.quick else (6, 10.0)
+    found: dict[str, list[dict]] = {side: [] for side in SIDES}
+    began = time.monotonic()
+    for n in range(turns):
+        for side in SIDES if n % 2 == 0 else reversed(SIDES):
+            found[side].append(trio.run(turn, side, directors, seconds, 7 + n))
+    us = {side: [t["us"] for t in rows] for side, rows in found.items()}
+    ratios = [on / off for on, off in zip(us["on"], us["off"], strict=True) if off]
+    print(f"{machine()}; {time.monotonic() - began:.0f} s; {RATE:g} requests a second, {turns} turns a side")
+    print(table(["side", "CPU us a request", "MB", "answers a turn"], [
+        [side, spread(us[side]), spread([t["mb"] for t in rows]), spread([t["answers"] for t in rows])]
+        for side, rows in found.items()]))
+    ratio = statistics.median(ratios) if ratios else 0.0
+    print(f"CPU a request, on against off: {ratio:.3f} (turn by turn {spread(ratios) if ratios else '-'})")
+    print(figures(ratio=round(ratio, 4), turns=turns, rate=RATE,
+                  lab_late_ms=round(max(t["late_ms"] for rows in found.values() for t in rows), 1),
+                  us={side: round(statistics.median(v), 1) for side, v in us.items()}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/recovery_sweep.py
@@ -0,0 +1,246 @@
+"""The long sweep of returns: real directors, one hard case a run, seeds upon seeds.
+
+    python -m benchmarks.recovery_sweep [--quick | --smallest] [--seeds N] [--first SEED] [--cases a,b]
+
+Every run is a process of its own with a stage in it; it ends well where the fleet serves again and no rule
+was broken, whatever came when. A run that does not prints its report: seed, faults, what the directors said.
+`--first SEED --seeds 1 --cases CASE` repeats one.
+
+    orders      everything loses its power amid writes, and returns one by one in an order drawn by the seed,
+                the next when it may, not when the last is ready
+    thrice      the power fails again as the first director is on its way, and once more
+    away        the coordinator stays away for 30 s after the return of all
+    frozen      one director stands still for 20 s through the whole return
+    torn        what was not synced reached the disk in part, its last write half; clients run
+    swapped     one director is started on another's folder, refuses it, and returns on its own; clients run
+    weak        an origin that falls over at the first rush, and cold parents
+    vanished    a director and a cache vanish amid the return, then two others, then all are there again
+    bad-net     a third of the datagrams lost, others doubled and reordered, a coordinator that resets
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import random
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+import trio
+
+from benchmarks.measure import figures, machine, table
+from rookbend.lab.stage import Scene, disk, stage
+from rookbend.lab.stage.boxes import ORIGIN
+
+OPERATORS = """
+[state]
+    folder {state}
+    fleet  f1
+[recovery]
+    first-rate 100
+    full-rate  300
+[health]
+"""
+RATE = 60.0
+
+
+async def served_more(scene: Scene, count: int) -> None:
+    before = scene.record.counts["answer", "served"]
+    wanted = before + count
+    await scene.until(lambda: scene.record.counts["answer", "served"] >= wanted, f"{count} more served")
+
+
+async def all_serve(scene: Scene) -> None:
+    for name in scene.names:
+        await scene.nodes[name].said("recovery_stage", stage="serving")
+    await scene.admitted()
+    await served_more(scene, 60)
+
+
+async def orders(scene: Scene, rng: random.Random) -> None:
+    scene.power_off()
+    names = list(scene.off)
+    rng.shuffle(names)
+    for name in names:
+        await scene.power_on(name)
+        if rng.random() < 0.5:
+            await trio.sleep(rng.random())
+
+
+async def thrice(scene: Scene, rng: random.Random) -> None:
+    for stage_name in rng.sample(("writes", "reads", "fills"), 2):
+        scene.power_off()
+        await scene.power_on()
+        await scene.nodes[rng.choice(scene.names)].said("recovery_stage", stage=stage_name)
+    scene.power_off()
+    await scene.power_on()
+
+
+async def away(scene: Scene, rng: random.Random) -> None:
+    scene.power_off()
+    scene.coordinator.go()
+    await scene.power_on(known={"index": 0, "updates": []} if rng.random() < 0.5 else None)
+    await trio.sleep(30.0)
+    scene.coordinator.back()
+
+
+async def frozen(scene: Scene, rng: random.Random) -> None:
+    scene.power_off()
+    await scene.power_on()
+    name = rng.choice(scene.names)
+    if rng.random() < 0.5:
+        await scene.nodes[name].said("recovery_stage", stage=rng.choice(("writes", "reads", "fills")))
+    scene.freeze(name)
+    await trio.sleep(20.0)
+    scene.thaw(name)
+
+
+async def torn(scene: Scene, rng: random.Random) -> None:
+    scene.power_off()
+    for node in scene.nodes.values():
+        await node.ended()
+        disk.tear(node.state, rng.random())
+    await scene.power_on()
+    assert not any(node.heard("state_damaged") for node in scene.nodes.values()), "a torn write is no damage"
+
+
+async def swapped(scene: Scene, rng: random.Random) -> None:
+    one, other = rng.sample(scene.names, 2)
+    scene.power_off(one)
+    await scene.nodes[one].ended()
+    disk.lose(scene.nodes[one].state)
+    ours = scene.folder / "ours"
+    disk.copy(scene.nodes[one].state, ours)
+    disk.copy(scene.nodes[other].state, scene.nodes[one].state)
+    await scene.start(one)
+    assert await scene.nodes[one].ended() == 2, "it took another's folder"
+    said = [line.get("text", "") for line in scene.nodes[one].lines[-1]]
+    assert any(f"is of director '{other}'" in text for text in said), said
+    disk.copy(ours, scene.nodes[one].state)
+    await scene.power_on(one)
+
+
+async def weak(scene: Scene, rng: random.Random) -> None:
+    scene.origin.make = replace(ORIGIN, capacity=2.0, multiple=2.0)
+    scene.power_off()
+    await scene.power_on()
+
+
+async def vanished(scene: Scene, rng: random.Random) -> None:
+    scene.power_off()
+    await scene.power_on()
+    directors, caches = rng.sample(scene.names, 2), rng.sample([b.name for b in scene.caches], 2)
+    for pair in zip(directors, caches, strict=True):
+        for name in pair:
+            scene.vanish(name)
+        await served_more(scene, 20)
+        for name in pair:
+            scene.vanish(name, gone=False)
+
+
+async def bad_net(scene: Scene, rng: random.Random) -> None:
+    for a in scene.names:
+        for b in scene.names:
+            if a != b:
+                scene.ways.get(a, b).set(loss=0.3, double=0.4, reorder=0.4)
+    scene.power_off()
+    await scene.power_on()
+    for _ in range(3):
+        await trio.sleep(rng.random())
+        scene.coordinator.go()
+        await trio.sleep(rng.random())
+        scene.coordinator.back()
+
+
+CASES: dict[str, Callable] = {
+    "orders": orders, "thrice": thrice, "away": away, "frozen": frozen, "torn": torn, "swapped": swapped,
+    "weak": weak, "vanished": vanished, "bad-net": bad_net}
+SHORT = "orders", "torn", "swapped"
+
+
+async def run(case: str, seed: int, directors: int) -> None:
+    """One run. Raises AssertionError with its report where it does not end well."""
+    async with stage(directors, 3, 1, seed, OPERATORS, RATE) as scene:
+        await scene.start()
+        await scene.admitted()
+        await scene.until(lambda: len(scene.world.ran) > 3, "writes ran")
+        await CASES[case](scene, random.Random(f"{seed} {case}"))
+        await all_serve(scene)
+        scene.front.running.cancel()
+        scene.verdict()
+        twice = [rids for rids in scene.world.ran.values() if len(rids) != len(set(rids))]
+        assert not twice, f"an id ran twice: {twice}"
+
+
+def child(case: str, seed: int, directors: int) -> int:
+    try:
+        trio.run(run, case, seed, directors)
+    except BaseExceptionGroup as group:
+        for failure in group.exceptions:
+            print(failure, file=sys.stderr)
+        return 1
+    except AssertionError as failure:
+        print(failure, file=sys.stderr)
+        return 1
+    return 0
+
+
+def sweep(wanted: list[tuple[str, int]], directors: int, jobs: int) -> list[tuple[str, int, float, int]]:
+    """(case, seed, seconds, exit code) of each; so many at once."""
+    out, live, waiting = [], {}, list(wanted)
+    while waiting or live:
+        while waiting and len(live) < jobs:
+            case, seed = waiting.pop(0)
+            words = [sys.executable, "-m", "benchmarks.recovery_sweep", "--child", case, "--first", str(seed),
+                     "--directors", str(directors)]
+            live[subprocess.Popen(words, stderr=subprocess.PIPE, text=True)] = case, seed, time.monotonic()
+        pid, status = os.waitpid(-1, 0)
+        process = next(p for p in live if p.pid == pid)
+        case, seed, began = live.pop(process)
+        code = os.waitstatus_to_exitcode(status)
+        said = process.stderr.read()
+        process.stderr.close()
+        process.returncode = code
+        out.append((case, seed, time.monotonic() - began, code))
+        if code:
+            print(f"== {case}, seed {seed}: exit {code}\n{said}", flush=True)
+    return out
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.recovery_sweep", description=__doc__.splitlines()[0])
+    parser.add_argument("--quick", action="store_true", help="three short cases, one seed, under 45 s")
+    parser.add_argument("--smallest", action="store_true", help="one run of one director; shows nothing")
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--cases", default=",".join(CASES))
+    parser.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) // 3))
+    parser.add_argument("--directors", type=int, default=3)
+    parser.add_argument("--child", help=argparse.SUPPRESS)
+    args = parser.parse_args(argv)
+    if args.child:
+        return child(args.child, args.first, args.directors)
+    cases, seeds, directors = args.cases.split(","), args.seeds, args.directors
+    if args.quick or args.smallest:
+        cases, seeds = (SHORT if args.quick else ("torn",)), 1
+        directors = directors if args.quick else 1
+    began = time.monotonic()
+    wanted = [(case, args.first + n) for n in range(seeds) for case in cases]
+    found = sweep(wanted, directors, args.jobs)
+    failed = Counter(case for case, _, _, code in found if code)
+    rows = [[case, sum(c == case for c, *_ in found), failed[case],
+             sum(s for c, _, s, _ in found if c == case) / max(1, sum(c == case for c, *_ in found))]
+            for case in cases]
+    print(f"{machine()}; {time.monotonic() - began:.0f} s; {directors} directors, {args.jobs} runs at once, "
+          f"seeds {args.first} to {args.first + seeds - 1}")
+    print(table(["case", "runs", "failed", "seconds each"], rows))
+    print(figures(runs=len(found), failed=sum(failed.values()), by_case=dict(failed), first=args.first))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rookbend/fronts/dns.py
+++ b/rookbend/fronts/dns.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import dns.message
 import dns.name
@@ -21,9 +21,13 @@
 from rookbend.protocol.dns import ADDRESSES, Lookup, NotAnswered, Outcome, read_query, reply_to
 from rookbend.protocol.events import object_number
 
+if TYPE_CHECKING:
+    from rookbend.recovery.names import Given, Names
+
 ASKERS = 32             # who may wait for one try
 REMEMBERED = 4096       # tries known at once, those under way among them
 RETRY_SPAN = 4          # deadlines for which a lookup may be retried
+BEGIN_BY_US = 200_000   # a disk that hangs holds a write up no longer
 
 Respond = Callable[[dns.message.Message], None]
 
@@ -35,11 +39,11 @@
 
 
 class Try:
-    """One request to the core on behalf of a lookup and of its repeats."""
+    """One request to the core on behalf of a lookup and of its repeats. `write`: its id, empty for a read."""
 
     __slots__ = ("askers", "deadline", "forget_at", "name", "outcome", "write")
 
-    def __init__(self, name: str, write: bool, deadline: int, forget_at: int):
+    def __init__(self, name: str, write: str, deadline: int, forget_at: int):
         self.name, self.write, self.deadline, self.forget_at = name, write, deadline, forget_at
         self.outcome: Outcome | None = None
         self.askers: dict[tuple, tuple[dns.message.Message, Respond]] = {}
@@ -47,10 +51,10 @@
 
 class DnsFront:
     def __init__(self, engine: Engine, resolver: Resolver, zone: str, box_name: str, budget_us: int,
-                 seed: int, remembered: int = REMEMBERED):
+                 seed: int, remembered: int = REMEMBERED, names: Names | None = None):
         self.engine, self.resolver = engine, resolver
         self.zone, self.box_name, self.budget_us = dns.name.from_text(zone), box_name, budget_us
-        self.remembered, self.random = remembered, random.Random(seed)
+        self.remembered, self.random, self.names = remembered, random.Random(seed), names
         self.classes = {c.name.lower(): i for i, c in enumerate(engine.settings.classes)}
         self.tries: dict[tuple, Try] = {}
         self.born_us = engine.clock.now()
@@ -91,17 +95,28 @@
         known = self.tries.get(key)
         if known is not None:
             return self._join(known, lookup, asker, respond)
+        if write and self.names is not None and (given := self.names.find(lookup.rid)) is not None:
+            return self._join(self._given_before(given), lookup, asker, respond)
         outcome = self._barred(index, write, now)
         if outcome is not None:
             return respond(reply_to(lookup.query, outcome))
         cls = self.engine.settings.classes[index]
         deadline = now + min(self.budget_us, cls.deadline_us)
-        t = self.tries[key] = Try(lookup.name, write, deadline, now + RETRY_SPAN * cls.deadline_us)
+        t = self.tries[key] = Try(lookup.name, lookup.rid if write else "", deadline,
+                                  now + RETRY_SPAN * cls.deadline_us)
         t.askers[asker] = (lookup.query, respond)
         rid = lookup.rid or f"{self.random.getrandbits(64):016x}"
-        self.engine.submit(Request(
-            rid, index, cls.name, lookup.key, object_number(lookup.key), deadline, lookup.part, lookup.group,
-        ), lambda answer: self._answered(t, answer))
+        request = Request(rid, index, cls.name, lookup.key, object_number(lookup.key), deadline, lookup.part,
+                          lookup.group)
+
+        def submit() -> None:
+            self.engine.submit(request, lambda answer: self._answered(t, answer))
+
+        if t.write and self.names is not None:
+            # Kept before it can run: a life after this one must not take its repeat for a new one.
+            self.names.begin(rid, t.name, now + BEGIN_BY_US, submit)
+        else:
+            submit()
 
     def _join(self, t: Try, lookup: Lookup, asker: tuple, respond: Respond) -> None:
         if t.name != lookup.name:
@@ -136,6 +151,15 @@
         self._forget_at = now + 1_000_000
         for key in [k for k, t in self.tries.items() if t.forget_at <= now and t.outcome is not None]:
             del self.tries[key]
+            if self.names is not None and len(key) == 1:    # a write's
+                self.names.drop(key[0])
+
+    @staticmethod
+    def _given_before(given: Given) -> Try:
+        """A try of a life before: whoever repeats it gets what it got."""
+        t = Try(given.lookup, "before", 0, 0)
+        t.outcome = Outcome(dns.rcode.Rcode(given.rcode), given.server, given.box, given.address, given.note)
+        return t
 
     def _answered(self, t: Try, answer: Answer) -> None:
         if answer.verdict is Verdict.REFUSED:
@@ -165,6 +189,15 @@
         return Outcome(dns.rcode.NOERROR if t.write else dns.rcode.SERVFAIL, note=why)
 
     def _settle(self, t: Try, outcome: Outcome) -> None:
+        if not t.write or self.names is None:
+            return self._reply(t, outcome)
+        from rookbend.recovery.names import Given
+        # Kept before it is given out: what nobody has heard may be forgotten, what somebody has may not.
+        self.names.keep(t.write, Given(t.name, int(outcome.rcode), outcome.server, outcome.box,
+                                       outcome.address, outcome.note), t.deadline,
+                        lambda: self._reply(t, outcome))
+
+    def _reply(self, t: Try, outcome: Outcome) -> None:
         t.outcome = outcome
         askers, t.askers = t.askers, {}
         for query, respond in askers.values():
--- a/rookbend/lab/stage/__init__.py
+++ b/rookbend/lab/stage/__init__.py
@@ -5,6 +5,7 @@
     relay        TCP and UDP between any two, with faults a directed pair
     boxes        caches, parents, the origin: memory, warmth, limits, falls
     coordinator  the list and the purges
+    names        a resolver, and a client of the directors' DNS fronts
     clients      open-loop clients behind a front
     record       what was seen, on one clock, fed to the rules' checker
     scene        all of it together
--- a/rookbend/lab/stage/clients.py
+++ b/rookbend/lab/stage/clients.py
@@ -17,6 +17,7 @@
 from rookbend.lab.rules import Answered, Asked, Left
 from rookbend.lab.stage.boxes import digest, group_of
 from rookbend.lab.stage.record import Record, now_us
+from rookbend.lab.stage.relay import reset
 from rookbend.lab.worth import ClassWorth, Ended, earned
 
 GONE = OSError, trio.BrokenResourceError, trio.ClosedResourceError
@@ -133,6 +134,11 @@
                 target.admitted = False
             await trio.sleep(PAUSE_S)
 
+    def give_up(self, name: str) -> None:
+        """What is open at that director is lost: its machine has vanished, nothing of it comes any more."""
+        for line in list(self.targets[name].lines):
+            reset(line.stream)
+
     async def _hold(self, target: Target) -> None:
         stream = await trio.open_tcp_stream(*target.address)
         line = Line(stream)
--- /dev/null
+++ b/rookbend/lab/stage/names.py
@@ -0,0 +1,100 @@
+"""A stand-in resolver for the directors' DNS fronts, and a client of these. dnspython does the messages."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import dns.flags
+import dns.message
+import dns.rcode
+import dns.rdatatype
+import dns.rrset
+import trio
+
+from rookbend.lab.rules import Answered, Asked, Left
+from rookbend.lab.stage.boxes import group_of
+from rookbend.lab.stage.process import HANG_S, Hung
+from rookbend.lab.stage.record import Record, now_us
+
+ASK_AGAIN_S = 1.0
+
+
+class Resolver:
+    """Answers `MEMBER.SUFFIX` with the address that the asking director knows the member by.
+    `address_of(director, member)` gives it as HOST:PORT."""
+
+    def __init__(self, director: str, address_of: Callable[[str, str], str]):
+        self.director, self.address_of = director, address_of
+        self.asked = 0
+
+    async def listen(self, nursery: trio.Nursery, host: str) -> str:
+        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await sock.bind((host, 0))
+        nursery.start_soon(self._serve, sock)
+        return "{}:{}".format(*sock.getsockname()[:2])
+
+    async def _serve(self, sock) -> None:
+        while True:
+            try:
+                wire, source = await sock.recvfrom(2048)
+            except OSError:
+                continue        # an earlier reply reached nobody
+            self.asked += 1
+            query = dns.message.from_wire(wire)
+            reply = dns.message.make_response(query)
+            asked = query.question[0]
+            try:
+                host = self.address_of(self.director, str(asked.name).split(".")[0]).partition(":")[0]
+                if asked.rdtype == dns.rdatatype.A:
+                    reply.answer.append(dns.rrset.from_text(asked.name, 0, "IN", "A", host))
+            except KeyError:
+                reply.set_rcode(dns.rcode.NXDOMAIN)
+            try:
+                await sock.sendto(reply.to_wire(), source)
+            except OSError:
+                pass            # its asker has died
+
+
+def read_reply(reply: dns.message.Message) -> tuple[str, str, str]:
+    """(code, the box named, its address); empty where none is."""
+    box = address = ""
+    for rrset in reply.answer:
+        if rrset.rdtype == dns.rdatatype.CNAME:
+            box = rrset[0].target.to_text(omit_final_dot=True)
+        elif rrset.rdtype == dns.rdatatype.A:
+            address = rrset[0].address
+    return dns.rcode.to_text(reply.rcode()), box, address
+
+
+async def look_up(server: tuple[str, int], name: str) -> tuple[str, str, str]:
+    """What a stub resolver gets, which asks again each second. Raises `Hung`."""
+    query = dns.message.make_query(name, dns.rdatatype.A)
+    query.flags |= dns.flags.RD
+    with trio.move_on_after(HANG_S), trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as sock:
+        await sock.connect(server)
+        while True:
+            try:
+                await sock.send(query.to_wire())
+                with trio.move_on_after(ASK_AGAIN_S):
+                    reply = dns.message.from_wire(await sock.recv(4096))
+                    if reply.id == query.id:
+                        return read_reply(reply)
+            except OSError:
+                await trio.sleep(0.05)      # nobody listens there yet
+    raise Hung(f"no reply on {name}")
+
+
+async def submit(record: Record, director: str, server: tuple[str, int], number: int, deadline_us: int,
+                 zone: str = "route.example.org") -> tuple[str, str, str]:
+    """A write by name, of an object and an id of that number; the rules' checker hears of both ends."""
+    rid = key = f"{number:016x}"
+    group = group_of(key)
+    record.see(Asked(now_us(), rid, director, True, now_us() + deadline_us, (key, 0), group))
+    try:
+        found = await look_up(server, f"r{rid}.p0.{key}.g{group}.submit-app.{zone}")
+    except trio.Cancelled:
+        record.see(Left(now_us(), rid))     # its asker gives up
+        raise
+    verdict = {"NOERROR": "served", "REFUSED": "refused"}.get(found[0], "failed")
+    record.see(Answered(now_us(), rid, verdict, ""))
+    return found
--- a/rookbend/lab/stage/relay.py
+++ b/rookbend/lab/stage/relay.py
@@ -7,6 +7,7 @@
     silent      nothing passes; bytes wait, as they do on a cut wire, and pass when it heals. New connections
                 come up and are silent
     reset       open connections are reset, new ones at once
+    deaf        like a machine that has vanished: no new connection comes up at all
     delay_us    each chunk or datagram waits so long
     loss, double, reorder       shares of the datagrams
 
@@ -27,6 +28,9 @@
 
 LINGER = struct.pack("ii", 1, 0)
 CHUNK = 65536
+BACKLOG = 128
+FILLERS = 3                 # one more than a queue of length nought takes
+FILL_S = 0.05
 REORDER_US = 30_000         # a datagram that is overtaken waits so long
 
 
@@ -35,6 +39,7 @@
     name: str
     silent: bool = False
     reset: bool = False
+    deaf: bool = False
     delay_us: int = 0
     loss: float = 0.0
     double: float = 0.0
@@ -43,14 +48,14 @@
 
     def set(self, **faults) -> None:
         for name, value in faults.items():
-            if name not in ("silent", "reset", "delay_us", "loss", "double", "reorder"):
+            if name not in ("silent", "reset", "deaf", "delay_us", "loss", "double", "reorder"):
                 raise ValueError(f"no fault of a way: {name}")
             setattr(self, name, value)
         self.changed.set()
         self.changed = trio.Event()
 
     def heal(self) -> None:
-        self.set(silent=False, reset=False, delay_us=0, loss=0.0, double=0.0, reorder=0.0)
+        self.set(silent=False, reset=False, deaf=False, delay_us=0, loss=0.0, double=0.0, reorder=0.0)
 
     async def passes(self) -> None:
         while self.silent:
@@ -92,13 +97,52 @@
         self.record, self.where = record, where
         self.name = f"{source}>{target}"
         self.address: tuple[str, int] | None = None
+        self.fillers: set[int] = set()      # ports of our own calls
 
     async def listen(self, nursery: trio.Nursery, host: str, port: int = 0) -> int:
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        self.address = listeners[0].socket.getsockname()[:2]
-        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await sock.bind((host, port))
+        sock.listen(BACKLOG)
+        self.address = sock.getsockname()[:2]
+        nursery.start_soon(self._accept, sock, nursery)
         return self.address[1]
 
+    async def _accept(self, sock, nursery: trio.Nursery) -> None:
+        """While the way is deaf the queue of the listener is full of our own calls, so the kernel leaves the
+        calls of others unanswered, as a machine does that is not there; they are repeated by the caller's
+        own kernel until they come up or it gives up."""
+        while True:
+            if self.out.deaf:
+                await self._be_deaf(sock)
+            heard, changed = trio.CancelScope(), self.out.changed
+            async with trio.open_nursery() as waiting:
+                waiting.start_soon(self._first, changed, heard)
+                with heard:
+                    near, (_, port, *_) = await sock.accept()
+                    if port in self.fillers:
+                        self.fillers.discard(port)
+                        near.close()
+                    else:
+                        nursery.start_soon(self._serve, trio.SocketStream(near))
+                waiting.cancel_scope.cancel()
+
+    async def _be_deaf(self, sock) -> None:
+        sock.listen(0)
+        fillers = []
+        for _ in range(FILLERS):
+            filler = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+            fillers.append(filler)
+            await filler.bind((self.address[0], 0))
+            self.fillers.add(filler.getsockname()[1])
+            with trio.move_on_after(FILL_S):
+                await filler.connect(self.address)
+        while self.out.deaf:
+            await self.out.changed.wait()
+        for filler in fillers:
+            filler.close()
+        sock.listen(BACKLOG)
+
     async def _serve(self, near: trio.SocketStream) -> None:
         self.record.note("call", self.name)
         far = None
--- a/rookbend/lab/stage/scene.py
+++ b/rookbend/lab/stage/scene.py
@@ -34,6 +34,7 @@
 from rookbend.lab.stage.boxes import CACHE, ORIGIN, PARENT, Box, Make, World
 from rookbend.lab.stage.clients import Front
 from rookbend.lab.stage.coordinator import Coordinator
+from rookbend.lab.stage.names import Resolver
 from rookbend.lab.stage.process import HANG_S, Hung, Node
 from rookbend.lab.stage.record import Record
 from rookbend.lab.stage.relay import TcpRelay, UdpRelay, Ways
@@ -98,6 +99,7 @@
         self.places: dict[str, dict[str, str]] = {}
         self.peers: dict[str, str] = {}
         self.day: tuple[timeline.Failure, ...] = ()
+        self.change: Callable[[dict], dict] = lambda settings: settings     # of what directors are told
         self.off: dict[str, None] = {}      # what has lost its power, in that order
 
     def _host(self, name: str, what: int) -> str:
@@ -121,12 +123,17 @@
             self.places[name] = {
                 "listen": f"{self._host(name, 1)}:{free_port(self._host(name, 1))}",
                 "admin": f"{self._host(name, 2)}:{free_port(self._host(name, 2))}",
-                "peers": f"{self._host(name, 3)}:{free_port(self._host(name, 3), socket.SOCK_DGRAM)}"}
+                "peers": f"{self._host(name, 3)}:{free_port(self._host(name, 3), socket.SOCK_DGRAM)}",
+                "dns": f"{self._host(name, 5)}:{free_port(self._host(name, 5))}",
+                "resolver": await Resolver(name, self._address_of).listen(self.nursery, self._host(name, 6))}
         heard = {n: split_address(self.places[n]["peers"]) for n in self.names}
         self.peers = await UdpRelay(self.ways, self.record, heard, self.seed).listen(
             self.nursery, lambda name: self._host(name, 4))
         for name in self.names:
-            self.front.add(name, split_address(self.places[name]["listen"]), self.nursery)
+            listens = split_address(self.places[name]["listen"])
+            relay = TcpRelay(self.ways, self.record, "clients", name, lambda listens=listens: listens)
+            await relay.listen(self.nursery, self._host(name, 7))
+            self.front.add(name, relay.address, self.nursery)
 
     # Directors
 
@@ -135,7 +142,7 @@
         seed = (self.seed * 1000 + i) * 1000 + self.nodes[name].lives
         return {
             "name": name, "listen": place["listen"], "seed": f"{seed:x}",
-            "settings": settings_for(len(self.names), len(self.caches), i),
+            "settings": self.change(settings_for(len(self.names), len(self.caches), i)),
             "coordinator": self._address_of(name, "coordinator"),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peer_listen": place["peers"], "peers": [self.peers[n] for n in self.names],
@@ -143,7 +150,9 @@
 
     def settings_text(self, name: str) -> str:
         more = self.operators(name) if callable(self.operators) else self.operators
-        more = more.replace("{state}", str(self.nodes[name].state))
+        for word, means in (("{state}", str(self.nodes[name].state)), ("{dns}", self.places[name]["dns"]),
+                            ("{resolver}", self.places[name]["resolver"])):
+            more = more.replace(word, means)
         return OPERATORS.format(admin=self.places[name]["admin"], more=more)
 
     async def start(self, *names: str, known: dict | None = None) -> None:
@@ -240,6 +249,16 @@
     def thaw(self, name: str) -> None:
         self.nodes[name].signal(signal.SIGCONT)
 
+    def vanish(self, name: str, gone: bool = True) -> None:
+        """The machine is cut off from all others, or there again: nothing crosses, nothing is reset, no new
+        connection comes up."""
+        self.record.note("fault", name, "vanished" if gone else "there again")
+        for other in (*self.names, *self.boxes, "coordinator", "clients"):
+            for pair in ((name, other), (other, name)):
+                self.ways.get(*pair).set(silent=gone, deaf=gone)
+        if gone and name in self.names:
+            self.front.give_up(name)
+
     def cut(self, source: str, target: str) -> None:
         """Nothing of what the one says reaches the other."""
         self.record.note("fault", f"{source}>{target}", "cut")
@@ -259,7 +278,8 @@
     async def play(self, text: str, file: str = "day") -> None:
         """The failures of a text, from now on; `seed` and lines go into the report of a failed run."""
         self.day = timeline.parse(text, file)
-        pairs = [f"{a}>{b}" for a in self.names for b in (*self.names, *self.boxes, "coordinator") if a != b]
+        others = *self.names, *self.boxes, "coordinator", "clients"
+        pairs = [f"{a}>{b}" for a in self.names for b in others if a != b]
         world = {timeline.MEMBER: list(self.boxes), timeline.DIRECTOR: self.names, timeline.PAIR: pairs,
                  timeline.MACHINE: [*self.names, *self.boxes], timeline.COORDINATOR: ["coordinator"]}
         begun = trio.current_time()
@@ -285,6 +305,8 @@
                 await self.power_on(part)
         elif kind == "freeze":
             (self.freeze if begins else self.thaw)(part)
+        elif kind == "vanish":
+            self.vanish(part, begins)
         elif kind == "cut-between":
             (self.cut if begins else self.heal)(*part.split(">"))
         elif kind == "clock":
@@ -344,7 +366,8 @@
                 folder: Path | None = None, notice_s: float = 1.0):
     """An open scene, whose directors are not started yet. With a `rate` clients ask so often a second, all
     together, from the first admission on. `operators` is the settings' text of all, or by name; in it
-    `{state}` is a folder that outlives the process."""
+    `{state}` is a folder that outlives the process, `{dns}` where its DNS front may listen, `{resolver}` a
+    stand-in that knows the members as that director does."""
     with tempfile.TemporaryDirectory(prefix="rookbend-stage-") as made:
         async with trio.open_nursery() as nursery:
             scene = Scene(nursery, folder or Path(made), directors, caches, parents, seed, operators, rate,
--- a/rookbend/net/recovery.py
+++ b/rookbend/net/recovery.py
@@ -102,6 +102,8 @@
 
     def _attempt(self, attempt: Attempt, result: Result | None) -> None:
         """What reaches the origin: direct, or with a fill from it or a parent."""
+        if not self.machine.counts_calls:
+            return
         entry = self.engine.entries.get(attempt.server)
         kinds = (self.rules.parent_kind, self.rules.origin_kind)
         direct = entry is not None and entry.member.kind in kinds
--- a/rookbend/net/state.py
+++ b/rookbend/net/state.py
@@ -28,6 +28,7 @@
         self.disk.rows = {}
         self.boot = self.disk.boot
         self._changed = trio.Event()
+        self._nursery: trio.Nursery | None = None
         self._was_degraded = False
         site.gauges.append(self.gauges)
         if self.disk.moved:
@@ -46,6 +47,22 @@
         self.ledger.put(self.clock.now(), kind, key, value, done)
         self._changed.set()
 
+    def put_by(self, kind: str, key: str, value: bytes, by_us: int, done: Done) -> None:
+        """The same, but `done` hears by then: a disk that hangs keeps nobody waiting for longer."""
+        self._nursery.start_soon(self._put_by, kind, key, value, by_us, done)
+
+    async def _put_by(self, kind: str, key: str, value: bytes, by_us: int, done: Done) -> None:
+        ended, found = trio.Event(), []
+
+        def heard(safe: bool) -> None:
+            found.append(safe)
+            ended.set()
+
+        self.put(kind, key, value, heard)
+        with trio.move_on_at(self.clock.monotonic_at(by_us)):
+            await ended.wait()
+        done(found == [True])
+
     def drop(self, kind: str, key: str, done: Done | None = None) -> None:
         self.ledger.drop(kind, key, done)
         self._changed.set()
@@ -57,6 +74,7 @@
 
     def start(self, nursery: trio.Nursery) -> None:
         token = trio.lowlevel.current_trio_token()
+        self._nursery = nursery
 
         def ended(number: int, fault: str) -> None:
             try:
--- a/rookbend/parts.py
+++ b/rookbend/parts.py
@@ -18,11 +18,26 @@
 
     dns, seed = site.operators.dns, int(site.config.seed, 16)
     resolver = ResolverClient(dns.resolver, site.clock, seed)
-    front = DnsFront(site.engine, resolver, dns.zone, dns.box_name, dns.budget_us, seed)
+    front = DnsFront(site.engine, resolver, dns.zone, dns.box_name, dns.budget_us, seed, names=_names(site))
     site.built["dns"] = server = DnsServer(front, site.clock, dns.listen, site.outbox)
     return [server]
 
 
+def _names(site: Site):
+    """Where there is a disk: what keeps the names that the DNS front gives out for writes."""
+    state = site.built.get("state")
+    if state is None:
+        return None
+    from rookbend.recovery.names import KIND, Names
+
+    names = Names(
+        site.clock.now(), lambda rid, value, by_us, done: state.put_by(KIND, rid, value, by_us, done),
+        lambda rid: state.drop(KIND, rid),
+        {rid: (row.value, row.at_us) for rid, row in state.ledger.all(KIND).items()})
+    site.gauges.append(lambda: {"dns_names_not_kept": names.unsafe, "dns_names_unreadable": names.unreadable})
+    return names
+
+
 def _balancer(site: Site) -> list[Part]:
     from rookbend.health.headroom import Headroom
     from rookbend.health.standing import Standing, standing
--- a/rookbend/recovery/director.py
+++ b/rookbend/recovery/director.py
@@ -216,6 +216,7 @@
         self.sequence_of_orders = 0
         self.asked_us: dict[tuple[int, int], int] = {}
         self.cold = True
+        self.told_covered = False
         self.limits: LimitsSet | None = None
         self.out: list[Action] = []
         reads = [i for i, (write, _, _) in enumerate(config.classes) if not write]
@@ -442,17 +443,23 @@
             self._covered(now)
 
     def _covered(self, now: int) -> None:
-        if self.gap.covered:
+        if self.gap.covered and not self.told_covered:
+            self.told_covered = True
             self._say("recovery_gap_covered", by=self.gap.covered_by, after_ms=(now - self.began_us) // 1000)
             self._tell_limits(now)
 
     # The origin
 
+    @property
+    def counts_calls(self) -> bool:
+        """Whether calls to the origin still move anything: while the ramp lasts, and before it."""
+        return self.share.rate is not None or self.sequence.stage < Stage.BACKGROUND
+
     def _call_made(self, now: int, event: CallMade) -> None:
         self.share.asked()
 
     def _call_ended(self, now: int, event: CallEnded) -> None:
-        if self.share.rate is not None or self.sequence.stage < Stage.BACKGROUND:
+        if self.counts_calls:
             self.share.ended(now, event.well, event.took_us)
 
     # Operators
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -3,12 +3,15 @@
 
 import signal
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 import trio
 
 from rookbend.lab.stage import disk, stage
+from rookbend.lab.stage.names import look_up, submit
 from rookbend.lab.stage.record import now_us
+from rookbend.protocol.events import split_address
 
 RECOVERY = """
 [state]
@@ -290,3 +293,73 @@
             scene.nodes["n0"].signal(signal.SIGTERM)
             assert await scene.nodes["n0"].ended() == 0
     trio.run(main)
+
+
+DNS = """
+[dns]
+    listen   {dns}
+    resolver {resolver}
+"""
+
+
+def short_writes(settings):
+    """A write is in doubt for four deadlines after a start: 1.2 s."""
+    settings["lanes"][0].update(aimUs=200_000, hardLimitUs=300_000)
+    return settings
+
+
+def test_a_lookup_for_a_write_gets_the_same_name_after_the_loss_and_never_runs_again():
+    async def main():
+        async with stage(directors=1, caches=2, operators=RECOVERY + DNS) as scene:
+            scene.change = short_writes
+            await scene.start()
+            await scene.admitted()
+            await all_reach(scene)
+            server, number = split_address(scene.places["n0"]["dns"]), 1000
+
+            async def again(number):
+                return await look_up(server, f"r{number:016x}.p0.{number:016x}.g{number % 256}"
+                                             ".submit-app.route.example.org")
+
+            async def new():
+                nonlocal number
+                number += 1
+                return await submit(scene.record, "n0", server, number, 300_000)
+
+            while (before := await new())[0] != "NOERROR":      # until the first four deadlines are over
+                pass
+            served = number
+            assert before[1] == "records.example.org" and before[2]
+            scene.origin.make = replace(scene.origin.make, first_s=0.25)    # the next is under way at the loss
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(submit, scene.record, "n0", server, 7, 300_000)
+                await scene.until(lambda: f"{7:016x}" in scene.world.ran, "it runs")
+                scene.power_off("n0")
+                nursery.cancel_scope.cancel()
+            await scene.power_on("n0")
+            await all_reach(scene)
+            assert await again(served) == before, "what was given out is given out again"
+            scene.origin.make = replace(scene.origin.make, first_s=0.04)
+            while (await new())[0] != "NOERROR":    # writes are taken again, and that one still is not
+                pass
+            assert (await again(7))[0] == "SERVFAIL", "whether it ran can't be told"
+            assert [len(rids) for rids in scene.world.ran.values()] == [1] * len(scene.world.ran), "ran once each"
+            scene.verdict()
+    trio.run(main)
+
+
+def test_a_machine_that_vanishes_amid_the_return_holds_nobody_up_and_returns():
+    async def main():
+        async with fleet(directors=3, rate=40) as scene:
+            scene.power_off()
+            await scene.power_on()
+            scene.vanish("n2")
+            scene.vanish("c1")
+            await all_reach(scene, names=("n0", "n1"))
+            await served_more(scene, 30)
+            scene.vanish("n2", gone=False)
+            scene.vanish("c1", gone=False)
+            await all_reach(scene, names=("n2",))
+            for name in scene.names:
+                await scene.until_told(name, "/fleet", lambda found: found["up"] == 3)
+    trio.run(main)
