Add the lease of one owner at a time, and a search of all its interleavings

Change: rookbend/ownership/ has voters, tenures and receivers, pure; rookbend/explore/ searches the real machines under a model network, clocks and disks; 17 planted faults in explore/faults.py. Nothing of it is imported by run.

--- /dev/null
+++ b/tests/test_ownership_search.py
@@ -0,0 +1,56 @@
+"""All interleavings of the lease's machines to a small bound: nothing wrong is found in the program, and what is
+planted is. The large bounds are `python -m benchmarks.ownership_search`."""
+
+import pytest
+
+from rookbend.explore.faults import FAULTS, planted
+from rookbend.explore.lease import Bounds, LeaseModel
+from rookbend.explore.search import search
+
+SMALL = {
+    "all of two rounds": Bounds(rounds=2, ticks=1),
+    "disks": Bounds(rounds=2, ticks=3, with_disk=1, without_disk=1),
+    "clocks": Bounds(rounds=2, ticks=3, drifts=2, tops=(0, 1)),
+    "hand-over": Bounds(rounds=3, ticks=0, releases=1, doubles=1, tops=(0, 5)),
+}
+QUICK = ("no-quiet-time", "kept-grant-is-over", "grants-while-granted", "token-at-least", "half-is-enough",
+         "one-vote-counts-twice", "owner-without-clock", "new-voters-at-once")
+
+
+@pytest.mark.parametrize("bounds", SMALL.values(), ids=SMALL)
+def test_nothing_is_wrong_in_any_interleaving(bounds):
+    found = search(LeaseModel(bounds, prompt=0), 6_000)
+    assert not found.wrong, "\n".join([found.wrong, *found.path])
+    assert found.complete or found.states >= 6_000
+
+
+@pytest.mark.parametrize("fault", [f for f in FAULTS if f.name in QUICK], ids=lambda f: f.name)
+def test_a_planted_fault_is_found(fault):
+    with planted(fault) as model:
+        found = search(model, 20_000)
+    assert found.wrong == fault.breaks
+    # The path is one that the model takes: it repeats the failure.
+    with planted(fault) as model:
+        state = next(iter(model.first()))
+        for name in found.path:
+            state = next(after for step, after in model.steps(state) if step == name)
+        assert model.wrong(state) == fault.breaks
+
+
+def test_the_search_counts_what_it_saw_and_finds_the_shortest_way():
+    class Counter:
+        def first(self):
+            return [0]
+
+        def steps(self, state):
+            return [("one", state + 1), ("two", state + 2)] if state < 10 else []
+
+        def canonical(self, state):
+            return state
+
+        def wrong(self, state):
+            return "seven" if state == 7 else ""
+
+    found = search(Counter(), 100)
+    assert found.wrong == "seven" and len(found.path) == 4 and found.path.count("two") == 3
+    assert search(Counter(), 100, most_depth=2).states == 5
