--- a/benchmarks/recovery_sweep.py
+++ b/benchmarks/recovery_sweep.py
@@ -246,7 +246,7 @@
     parser.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) // 3))
     parser.add_argument("--directors", type=int, default=3)
     parser.add_argument("--tests", type=int, default=0,
-                        help="so often all tests with several processes, the long ones too, in place of the cases")
+                        help="run the tests with several processes so often, the long ones too, and no case")
     parser.add_argument("--child", help=argparse.SUPPRESS)
     args = parser.parse_args(argv)
     if args.child:
--- a/rookbend/lab/stage/shim/faultydisk.py
+++ b/rookbend/lab/stage/shim/faultydisk.py
@@ -15,8 +15,10 @@
 
 RECORD = struct.Struct("=qi")       # offset, length; -1: a truncation to the offset
 FLAGS = apsw.SQLITE_OPEN_MAIN_DB | apsw.SQLITE_OPEN_WAL | apsw.SQLITE_OPEN_MAIN_JOURNAL
-with open(os.path.join(os.environ["ROOKBEND_STAGE"], "stops"), "rb") as _file:
-    _stops = mmap.mmap(_file.fileno(), 1, prot=mmap.PROT_READ)
+_stops = b"\0"
+if os.path.exists(os.path.join(os.environ["ROOKBEND_STAGE"], "stops")):
+    with open(os.path.join(os.environ["ROOKBEND_STAGE"], "stops"), "rb") as _file:
+        _stops = mmap.mmap(_file.fileno(), 1, prot=mmap.PROT_READ)
 _word = os.path.join(os.environ["ROOKBEND_STAGE"], "disk")
 
 
