--- /dev/null
+++ b/benchmarks/ownership.py
@@ -0,0 +1,170 @@
+"""One owner at a time: what it saves, how fast it notices, how long nobody owns.
+
+    python -m benchmarks.ownership [--quick | --smallest] [--sizes 3,10]
+
+1. checks (real directors): checks a second at a member and CPU seconds a second of the fleet, each director
+   checking for itself against owners; seconds from a member's failure until the last director knows
+2. orders (real): milliseconds of an order for the fleet until it stands and until the last director has it
+3. without an owner (simulated time, 5 directors, 5% loss): after a kill, a freeze, a cut, SIGTERM; in leases
+4. datagrams and bytes a second a director (simulated time) at 3, 10, 40 and 200
+Sides interleaved; held fixed: interval, members, seeds, the lease.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import sys
+import time
+
+import trio
+
+from benchmarks.measure import figures, machine, spread, table
+from benchmarks.recovery_cost import cpu_s
+from rookbend.lab.ownersim import SECOND, OwnerSim
+from rookbend.lab.stage import stage
+from rookbend.ownership import director as machine_of
+from rookbend.ownership.lease import Terms
+
+BASE = """
+[state]
+    folder {state}
+    fleet f1
+[recovery]
+    ready-by 2s
+    first-rate 390
+[health]
+    hold 500ms
+[check web]
+    type http
+    port 9777
+    tier all
+    interval 1s
+    fast 300ms
+    fall 3
+    stale 6s
+"""
+SIDES = {"each": BASE, "owners": BASE + "[ownership]\n shards 4\n"}
+LEASE_S = Terms().lease_us / 1e6
+
+
+async def checks(side: str, directors: int, seconds: float, seed: int) -> dict:
+    async with stage(directors, 4, 1, seed, SIDES[side]) as scene:
+        def change(settings: dict) -> dict:
+            settings["limits"]["probes"] = True
+            return settings
+
+        scene.change = change
+        await scene.start()
+        for name in scene.names:
+            await scene.nodes[name].said("recovery_stage", stage="serving")
+        if side == "owners":
+            for name in scene.names:
+                await scene.until_told(name, "/owners", lambda found: all(
+                    r["owner"] >= 0 for r in found["owners"] if r["scope"] != "report"))
+        pids = [node.process.pid for node in scene.nodes.values()]
+        await trio.sleep(1.0)
+        before, cpu = sum(b.checks for b in scene.boxes.values()), sum(map(cpu_s, pids))
+        await trio.sleep(seconds)
+        made = sum(b.checks for b in scene.boxes.values()) - before
+        cpu = sum(map(cpu_s, pids)) - cpu
+        scene.boxes["c1"].ill = True
+        began, last = time.monotonic(), 0.0
+        for name in scene.names:
+            await scene.nodes[name].said("member_state", member="c1", state="down")
+            last = time.monotonic() - began
+        stands = all_have = None
+        if side == "owners":
+            began = time.monotonic()
+            found = await scene.ask(scene.names[-1], "/orders", "POST", {
+                "member": "c2", "order": "maintain", "by": "bench", "fleet": True})
+            assert found["status"] == 200, found
+            stands = time.monotonic() - began
+            for name in scene.names:
+                await scene.nodes[name].said("member_state", member="c2", state="maintenance")
+            all_have = time.monotonic() - began
+        return {"checks": made / seconds / len(scene.boxes), "cpu": cpu / seconds, "known": last,
+                "stands": stands, "all_have": all_have}
+
+
+def without_owner(kind: str, seed: int) -> float:
+    """Seconds of simulated time from the fault until the first scope that was lost has an owner again."""
+    sim = OwnerSim(5, seed, loss=0.05, double=0.05, drift=0.02)
+    sim.start()
+    sim.run(9 * SECOND)
+    scope = machine_of.ORDERS
+    owner = sim.owners(scope)[0]
+    began = sim.now
+    if kind == "kill":
+        sim.kill(owner)
+    elif kind == "freeze":
+        sim.freeze(owner)
+    elif kind == "cut":
+        sim.cut = {(owner, p) for p in range(5)} | {(p, owner) for p in range(5)}
+    else:
+        sim._feed(sim.nodes[owner], machine_of.Stop())
+    while not [o for o in sim.owners(scope) if o != owner] and sim.now - began < 60 * SECOND:
+        sim.run(5_000)
+    assert not sim.wrong, sim.wrong
+    # Until its lease ends a frozen or cut owner owns, and may act: that time is not without an owner.
+    return (sim.now - began) / 1e6
+
+
+def traffic(count: int, seed: int) -> dict:
+    sim = OwnerSim(count, seed, voters=5, shards=8)
+    sim.start()
+    sim.run(10 * SECOND)
+    sent, size, began = sum(sim.sent.values()), sim.bytes, sim.now
+    sim.run(10 * SECOND)
+    seconds = (sim.now - began) / 1e6
+    most = max(n.machine.sent for n in sim.nodes) / ((sim.now - sim.nodes[0].machine.began_us) / 1e6)
+    return {"datagrams": (sum(sim.sent.values()) - sent) / seconds / count,
+            "bytes": (sim.bytes - size) / seconds / count, "most": most}
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.ownership", description=__doc__.splitlines()[0])
+    parser.add_argument("--quick", action="store_true", help="3 real directors, one turn, under 45 s")
+    parser.add_argument("--smallest", action="store_true", help="the least that runs; shows nothing")
+    parser.add_argument("--sizes", default="3,10", help="real directors (default %(default)s)")
+    args = parser.parse_args(argv)
+    if args.smallest:
+        sizes, turns, seconds, seeds, counts = (1,), 1, 1.0, 1, (3,)
+    elif args.quick:
+        sizes, turns, seconds, seeds, counts = (3,), 1, 4.0, 5, (3, 10, 40)
+    else:
+        sizes, turns, seconds, seeds = tuple(map(int, args.sizes.split(","))), 3, 8.0, 30
+        counts = (3, 10, 40, 200)
+    began = time.monotonic()
+    real: dict[tuple[int, str], list[dict]] = {}
+    for turn in range(turns):
+        for size in sizes:
+            for side in SIDES if turn % 2 == 0 else reversed(SIDES):
+                real.setdefault((size, side), []).append(trio.run(checks, side, size, seconds, 7 + turn))
+    print(f"{machine()}; {time.monotonic() - began:.0f} s; an interval of 1 s, 6 members, seeds 7 to "
+          f"{6 + turns}")
+
+    def median(rows: list[dict], name: str) -> float | None:
+        values = [row[name] for row in rows if row[name] is not None]
+        return round(statistics.median(values), 3) if values else None
+
+    names = "checks", "cpu", "known", "stands", "all_have"
+    print(table(["directors", "side", "checks/s a member", "CPU s/s", "known by all s", "order stands s",
+                 "all have it s"], [[*key, *(median(rows, n) for n in names)] for key, rows in real.items()]))
+    gaps = {kind: [without_owner(kind, seed) for seed in range(seeds)]
+            for kind in ("kill", "freeze", "cut", "sigterm")}
+    print(table(["fault", "until another owns, s", "leases (median)"],
+                [[kind, spread(v), statistics.median(v) / LEASE_S] for kind, v in gaps.items()]))
+    flow = {count: traffic(count, 7) for count in counts}
+    print(table(["directors", "datagrams/s each", "bytes/s each", "the busiest, datagrams/s"],
+                [[n, f["datagrams"], f["bytes"], f["most"]] for n, f in flow.items()]))
+    print(figures(real={f"{size} {side}": {n: median(rows, n) for n in names}
+                        for (size, side), rows in real.items()},
+                  until_owned={kind: round(statistics.median(v), 3) for kind, v in gaps.items()},
+                  worst={kind: round(max(v), 3) for kind, v in gaps.items()},
+                  traffic={n: {k: round(v, 1) for k, v in f.items()} for n, f in flow.items()}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/recovery_cost.py
+++ b/benchmarks/recovery_cost.py
@@ -1,10 +1,11 @@
-"""What recovery and state cost a director that serves: CPU a request with all of it on, against off.
+"""What recovery, state and ownership cost a director that serves: CPU a request with them on, against off.
 
     python -m benchmarks.recovery_cost [--quick | --smallest]
 
 One director of the stage at a time, caches warm, `RATE` requests a second; sides in turn, repeated: `off` as
-in `run`, `on` with [state], [recovery] and two peers that talk to it as a fleet of three does. Figures: CPU
-microseconds of the director's process (all its threads) an answer, their ratio, and its memory. Held fixed:
+in `run`, `recovery` with [state], [recovery] and two peers that talk to it as a fleet of three does, and
+`ownership` with all of that and [ownership]. Figures: CPU
+microseconds of the director's process (all its threads) an answer, the ratios, and its memory. Held fixed:
 the rate, the seed of a turn, the caches. The peers' CPU is not counted.
 """
 
@@ -21,7 +22,8 @@
 from benchmarks.measure import figures, machine, spread, table
 from rookbend.lab.stage import stage
 
-SIDES = {"off": "", "on": "[state]\n folder {state}\n fleet f1\n[recovery]\n fleet f1\n first-rate 390\n"}
+RECOVERY = "[state]\n folder {state}\n fleet f1\n[recovery]\n fleet f1\n first-rate 390\n"
+SIDES = {"off": "", "recovery": RECOVERY, "ownership": RECOVERY + "[ownership]\n report-ledger {ledger}\n"}
 RATE = 200.0
 TICK = os.sysconf("SC_CLK_TCK")
 
@@ -41,7 +43,7 @@
     async with stage(directors, 3, 1, seed, SIDES[side], RATE) as scene:
         await scene.start()
         await scene.admitted()
-        if side == "on":
+        if side != "off":
             for node in scene.nodes.values():
                 await node.said("recovery_stage", stage="serving")
         for name in scene.names[1:]:        # one director gets all the requests, the others only talk to it
@@ -68,14 +70,16 @@
         for side in SIDES if n % 2 == 0 else reversed(SIDES):
             found[side].append(trio.run(turn, side, directors, seconds, 7 + n))
     us = {side: [t["us"] for t in rows] for side, rows in found.items()}
-    ratios = [on / off for on, off in zip(us["on"], us["off"], strict=True) if off]
+    ratios = {side: [on / off for on, off in zip(us[side], us["off"], strict=True) if off]
+              for side in SIDES if side != "off"}
     print(f"{machine()}; {time.monotonic() - began:.0f} s; {RATE:g} requests a second, {turns} turns a side")
     print(table(["side", "CPU us a request", "MB", "answers a turn"], [
         [side, spread(us[side]), spread([t["mb"] for t in rows]), spread([t["answers"] for t in rows])]
         for side, rows in found.items()]))
-    ratio = statistics.median(ratios) if ratios else 0.0
-    print(f"CPU a request, on against off: {ratio:.3f} (turn by turn {spread(ratios) if ratios else '-'})")
-    print(figures(ratio=round(ratio, 4), turns=turns, rate=RATE,
+    for side, values in ratios.items():
+        print(f"CPU a request, {side} against off: {spread(values) if values else '-'}")
+    print(figures(ratio={side: round(statistics.median(v), 4) if v else None for side, v in ratios.items()},
+                  turns=turns, rate=RATE,
                   lab_late_ms=round(max(t["late_ms"] for rows in found.values() for t in rows), 1),
                   us={side: round(statistics.median(v), 1) for side, v in us.items()}))
     return 0
--- a/benchmarks/recovery_sweep.py
+++ b/benchmarks/recovery_sweep.py
@@ -15,6 +15,8 @@
     swapped     one director is started on another's folder, refuses it, and returns on its own; clients run
     weak        an origin that falls over at the first rush, and cold parents
     vanished    a director and a cache vanish amid the return, then two others, then all are there again
+    owners      five directors with four duties: kills, freezes, cuts, clocks that step and run wrong, stops
+                amid a line to the ledger; no line of an old owner may be taken, no order that stood be lost
     bad-net     a third of the datagrams lost, others doubled and reordered, a coordinator that resets
 """
 
@@ -35,6 +37,7 @@
 from benchmarks.measure import figures, machine, table
 from rookbend.lab.stage import Scene, disk, stage
 from rookbend.lab.stage.boxes import ORIGIN
+from rookbend.lab.stage.process import AFTER_SEND, BEFORE_SEND
 
 OPERATORS = """
 [state]
@@ -156,14 +159,123 @@
         scene.coordinator.back()
 
 
+OWNERS = """
+[state]
+    folder {state}
+    fleet  f1
+[recovery]
+    ready-by 2s
+[ownership]
+    lease         1500ms
+    shards        4
+    report-ledger {ledger}
+    report-every  1s
+[health]
+[check web]
+    type     http
+    port     9777
+    tier     all
+    interval 1s
+    stale    4s
+"""
+
+
+def allow_probes(settings: dict) -> dict:
+    settings["limits"]["probes"] = True
+    return settings
+
+
+async def harm(scene: Scene, rng: random.Random) -> None:
+    """One fault, to its end."""
+    name, other = rng.sample(scene.names, 2)
+    node = scene.nodes[name]
+    kind = rng.choice(("kill", "freeze", "cut", "cut one way", "clock", "rate", "before", "after"))
+    span_s = rng.uniform(0.2, 5.0)
+    if kind == "kill":
+        scene.power_off(name)
+        await trio.sleep(span_s / 2)
+        await scene.power_on(name)
+    elif kind == "freeze":
+        scene.freeze(name)
+        await trio.sleep(span_s)
+        scene.thaw(name)
+    elif kind.startswith("cut"):
+        others = [n for n in scene.names if n != name]
+        for target in others if rng.random() < 0.5 else [other]:
+            scene.cut(name, target)
+            if kind == "cut":
+                scene.cut(target, name)
+        await trio.sleep(span_s)
+        scene.ways.heal()
+    elif kind in ("clock", "rate"):
+        step, rate = rng.choice((-600.0, 600.0)), rng.choice((0.98, 1.02))
+        node.set_clock(*((step,) if kind == "clock" else (0.0, rate)))
+        await trio.sleep(span_s / 2)
+    else:
+        node.stop_at(BEFORE_SEND if kind == "before" else AFTER_SEND)
+        with trio.move_on_after(4.0):       # it may not be the one that writes
+            await node.stopped()
+            await trio.sleep(span_s)
+        node.stop_at()
+        scene.thaw(name)
+
+
+async def owners(seed: int) -> None:
+    """A run of its own: five directors, four duties, twelve faults."""
+    rng = random.Random(f"{seed} owners")
+    async with stage(5, 3, 1, seed, OWNERS) as scene:
+        scene.change = allow_probes
+        await scene.start()
+        await scene.admitted()
+        stood: list[str] = []
+
+        async def order(number: int) -> None:
+            member, name = rng.choice(scene.caches).name, rng.choice(scene.names)
+            with trio.move_on_after(6.0):
+                try:
+                    found = await scene.ask(name, "/orders", "POST", {
+                        "member": member, "order": rng.choice(("drain", "ready")), "by": f"s{number}",
+                        "fleet": True})
+                    if found["status"] == 200:
+                        stood.append(f"s{number}")
+                except (OSError, trio.BrokenResourceError):
+                    pass        # that director was away
+
+        for number in range(12):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(order, number)
+                await harm(scene, rng)
+        scene.ways.heal()
+        for node in scene.nodes.values():
+            node.set_clock()
+        await scene.start()
+        lines = len(scene.ledger.tries)
+        await scene.until(lambda: sum(t.word == "ok" for t in scene.ledger.tries[lines:]) >= 3, "lines go on")
+        counts = {}
+        for name in scene.names:
+            found = await scene.until_told(name, "/owners", lambda found: all(
+                r["owner"] >= 0 for r in found["owners"]) and found["orders"]["in_effect"] >= len(stood))
+            counts[name] = found["orders"]["in_effect"]
+        scene.front.running.cancel()
+        scene.verdict()
+        taken = [t for t in scene.ledger.tries if t.word == "ok"]
+        assert [t.token for t in taken] == sorted(t.token for t in taken), "an old owner's line was taken"
+        assert len({t.number for t in taken}) == len(taken), "a line was taken twice"
+        old = sum(t.word == "old" for t in scene.ledger.tries)
+        print(f"owners {seed}: {len(taken)} lines taken, {old} of old owners refused, "
+              f"{len(stood)} orders stood", flush=True)
+
+
 CASES: dict[str, Callable] = {
     "orders": orders, "thrice": thrice, "away": away, "frozen": frozen, "torn": torn, "swapped": swapped,
-    "weak": weak, "vanished": vanished, "bad-net": bad_net}
+    "weak": weak, "vanished": vanished, "bad-net": bad_net, "owners": owners}
 SHORT = "orders", "torn", "swapped"
 
 
 async def run(case: str, seed: int, directors: int) -> None:
     """One run. Raises AssertionError with its report where it does not end well."""
+    if case == "owners":
+        return await owners(seed)
     async with stage(directors, 3, 1, seed, OPERATORS, RATE) as scene:
         await scene.start()
         await scene.admitted()
--- a/rookbend/lab/stage/scene.py
+++ b/rookbend/lab/stage/scene.py
@@ -259,7 +259,10 @@
                 await self.start(name, known=known)
 
     def freeze(self, name: str) -> None:
+        """It stands still. What is open at it is given up by its clients: no answer of a process that stands
+        can come in time."""
         self.nodes[name].signal(signal.SIGSTOP)
+        self.front.give_up(name)
 
     def thaw(self, name: str) -> None:
         self.nodes[name].signal(signal.SIGCONT)
