--- a/rookbend/ownership/director.py
+++ b/rookbend/ownership/director.py
@@ -26,6 +26,7 @@
 ASK_AGAIN_US = 200_000      # a round whose votes were lost
 ASK_FOR_US = 1_000_000      # then it gives up, and lets others try
 TAKE_AGAIN_US = 50_000
+PART_TIMES = 4              # a hand-over is said so often, a beat between
 # Stopped for so long, the asks that it finds waiting are too old to be granted.
 ASLEEP_US, WAKING_US = 1_000_000, 100_000
 LOOK_US = 2_000_000         # between two looks at who owns what
@@ -268,6 +269,7 @@
     renewed_us: int = 0
     place: int = -1             # whom a voter said that it is granted to
     ownerless_us: int = 0       # since when no owner is known
+    handed: int = 0             # the newest token above which it was handed to us
     taken_us: int = -1          # when it was handed to us, until it is owned
     no: dict[int, int] = field(default_factory=dict)    # voters that refused: for how long yet
 
@@ -329,6 +331,7 @@
         self.votes_due: dict[str, deque[VoteDue]] = {}
         self.appends_due: dict[str, deque[tuple[int, int, int, int]]] = {}      # (peer, life, token, number)
         self.unsafe: set[tuple[int, int]] = set()   # grants that the disk refused: (scope, token)
+        self.parting: list[list[int]] = []      # handed over: (times yet, scope, token, successor)
         self.given: dict[int, Mine] = {}
         self.findings: dict[int, Found] = {}
         self.sequences: dict[int, int] = {}
@@ -416,6 +419,7 @@
             for data in wire.split(ask, rows):
                 for voter in sorted(self.sets.all):
                     self._send_data(now, voter, data)
+        self._part(now)
         self._recall(now)
         self._look(now)
         self._duties(now)
@@ -535,10 +539,19 @@
         token = tenure.token
         self._lost(now, scope, f"handed to {successor}")
         self.tries[scope].at_us = now + self.config.terms.hand_over_us + self._wait(scope)
-        for voter in sorted(self.sets.all):
-            self._send(now, voter, wire.Release(*self._head(), ((scope, token, successor),)))
-        if successor >= 0:
-            self._send(now, successor, wire.Take(*self._head(), ((scope, token),)))
+        self.parting.append([PART_TIMES, scope, token, successor])
+        self._part(now)
+
+    def _part(self, now: int) -> None:
+        """Says again what was handed over: where a word is lost, the scope waits for the end of the lease."""
+        for row in self.parting:
+            row[0] -= 1
+            _, scope, token, successor = row
+            for voter in sorted(self.sets.all):
+                self._send(now, voter, wire.Release(*self._head(), ((scope, token, successor),)))
+            if successor >= 0:
+                self._send(now, successor, wire.Take(*self._head(), ((scope, token),)))
+        self.parting = [row for row in self.parting if row[0] > 0]
 
     def _stop(self, now: int, event: Stop) -> None:
         for scope in self.owned(now):
@@ -714,7 +727,9 @@
     def _take_over(self, now: int, sender: int, m: wire.Take) -> None:
         for scope, token in m.rows:
             row = self.tries.get(scope)
-            if row is not None and self.tenures[scope].phase is Phase.IDLE and not self.stopping:
+            if row is not None and self.tenures[scope].phase is Phase.IDLE and not self.stopping \
+                    and token > row.handed:     # said again: it may have been owned and lost since
+                row.handed = token
                 self.top = max(self.top, min(token, self._believable(now)))
                 row.taken_us = now
                 round_ = self._begin(now, scope)
