Share the events and actions that both machines have

Cause: six small classes stood in recovery/director.py and ownership/director.py alike. Change: ownership takes recovery's.

--- a/rookbend/ownership/director.py
+++ b/rookbend/ownership/director.py
@@ -21,6 +21,7 @@
 from rookbend.ownership.report import Report
 from rookbend.protocol import ownership as wire
 from rookbend.protocol.fleet import fleet_number
+from rookbend.recovery.director import Datagram, Forget, Keep, Say, Send, Tick
 
 BEAT_US = 100_000           # the machine's own, while anything is owned, asked for or voted on
 ASK_AGAIN_US = 200_000      # a round whose votes were lost
@@ -61,17 +62,6 @@
 # Events
 
 
-@dataclass(slots=True)
-class Tick:
-    pass
-
-
-@dataclass(slots=True)
-class Datagram:
-    sender: int
-    data: bytes
-
-
 @dataclass(slots=True)
 class Kept:
     """A row that was promised is on disk, or can't be."""
@@ -156,27 +146,7 @@
 Event = Tick | Datagram | Kept | Living | Stop | NewVoters | OldDisk | OrderGiven | Found | Asked | Counted \
     | Written | Move
 
-# Actions
-
-
-@dataclass(slots=True)
-class Send:
-    peer: int
-    data: bytes
-
-
-@dataclass(slots=True)
-class Keep:
-    kind: str
-    key: str
-    value: bytes
-    promised: bool = False
-
-
-@dataclass(slots=True)
-class Forget:
-    kind: str
-    key: str
+# Actions, beside those that are recovery's too
 
 
 @dataclass(slots=True)
@@ -236,13 +206,6 @@
     until: int
 
 
-@dataclass(slots=True)
-class Say:
-    event: str
-    level: str
-    fields: dict
-
-
 Action = Send | Keep | Forget | Owned | Lost | OrderStands | OrderDone | Told | PartSet | Count \
     | WriteLine | Say
 
