--- a/tests/test_ownership_processes.py
+++ b/tests/test_ownership_processes.py
@@ -1,6 +1,7 @@
 """One owner at a time with several processes of the program and faults between them. Verdicts are on what the
 stand-ins received; nothing waits for a time but to end a hang."""
 
+import json
 import signal
 from contextlib import asynccontextmanager
 
@@ -231,3 +232,23 @@
             scene.power_off("n0", "n1")
             assert await bounded(owner_of, scene, "orders") in ("n2", "n3", "n4")
     trio.run(main)
+
+
+def test_the_report_goes_on_in_a_file_under_the_next_owners_token(tmp_path):
+    path = tmp_path / "report"
+
+    def lines():
+        return [json.loads(line) for line in path.read_text().splitlines()] if path.exists() else []
+
+    async def main():
+        operators = OWNERSHIP.replace("report-ledger {ledger}", f"report-file   {path}")
+        async with fleet(directors=3, operators=operators) as scene:
+            await scene.until(lambda: len(lines()) >= 2, "two lines")
+            old = await bounded(owner_of, scene, "report")
+            first = lines()[-1]["token"]
+            scene.power_off(old)
+            await scene.until(lambda: lines()[-1]["token"] > first, "a line of the next owner")
+            tokens = [line["token"] for line in lines()]
+            assert tokens == sorted(tokens) and len({line["number"] for line in lines()}) == len(lines())
+            await scene.power_on(old)
+    trio.run(main)
