Say each thing once in ownership, its driver and the commands; drop what nobody calls

Cause: a second reading. Change: one piece each (Peers.living, orders.outranks, AdminDesk._words, cli.tables, Scene.served_more, allow_probes); Follower.covers and silent, PartSet and an unused argument are gone. Behaviour is unchanged.

--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -22,7 +22,7 @@
 from benchmarks.measure import figures, machine, spread, table
 from benchmarks.recovery_cost import cpu_s
 from rookbend.lab.ownersim import SECOND, OwnerSim
-from rookbend.lab.stage import stage
+from rookbend.lab.stage import allow_probes, stage
 from rookbend.ownership import director as machine_of
 from rookbend.ownership.lease import Terms
 
@@ -50,11 +50,7 @@
 
 async def checks(side: str, directors: int, seconds: float, seed: int) -> dict:
     async with stage(directors, 4, 1, seed, SIDES[side]) as scene:
-        def change(settings: dict) -> dict:
-            settings["limits"]["probes"] = True
-            return settings
-
-        scene.change = change
+        scene.change = allow_probes
         await scene.start()
         for name in scene.names:
             await scene.nodes[name].said("recovery_stage", stage="serving")
--- a/benchmarks/recovery_sweep.py
+++ b/benchmarks/recovery_sweep.py
@@ -35,7 +35,7 @@
 import trio
 
 from benchmarks.measure import figures, machine, table
-from rookbend.lab.stage import Scene, disk, stage
+from rookbend.lab.stage import Scene, allow_probes, disk, stage
 from rookbend.lab.stage.boxes import ORIGIN
 from rookbend.lab.stage.process import AFTER_SEND, BEFORE_SEND
 
@@ -51,17 +51,11 @@
 RATE = 60.0
 
 
-async def served_more(scene: Scene, count: int) -> None:
-    before = scene.record.counts["answer", "served"]
-    wanted = before + count
-    await scene.until(lambda: scene.record.counts["answer", "served"] >= wanted, f"{count} more served")
-
-
 async def all_serve(scene: Scene) -> None:
     for name in scene.names:
         await scene.nodes[name].said("recovery_stage", stage="serving")
     await scene.admitted()
-    await served_more(scene, 60)
+    await scene.served_more(60)
 
 
 async def orders(scene: Scene, rng: random.Random) -> None:
@@ -140,7 +134,7 @@
     for pair in zip(directors, caches, strict=True):
         for name in pair:
             scene.vanish(name)
-        await served_more(scene, 20)
+        await scene.served_more(20)
         for name in pair:
             scene.vanish(name, gone=False)
 
@@ -180,11 +174,6 @@
 """
 
 
-def allow_probes(settings: dict) -> dict:
-    settings["limits"]["probes"] = True
-    return settings
-
-
 async def harm(scene: Scene, rng: random.Random) -> None:
     """One fault, to its end."""
     name, other = rng.sample(scene.names, 2)
--- a/rookbend/cli/fleet.py
+++ b/rookbend/cli/fleet.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import argparse
-import json
-import sys
 
 from rookbend.cli import UsageFault
-from rookbend.cli.tables import ago, ask, plain, show_again
+from rookbend.cli.tables import add_admin, ago, ask, dump, plain, show_again
 
 HELP = "show the directors of the fleet as one of them sees them, or who owns its work"
 EXAMPLE = "rookbend fleet --admin 127.0.0.1:9100 --watch"
@@ -21,8 +19,7 @@
                         help="owners: who owns which work; move, pin SCOPE PLACE; unpin SCOPE; "
                              "without PLACE: whose it would be if that director were gone")
     parser.add_argument("what", nargs="*", help="the scope, as in `owners`, and the director's place")
-    parser.add_argument("--admin", default="127.0.0.1:9100", metavar="HOST:PORT",
-                        help="the director's [admin] listener (default %(default)s)")
+    add_admin(parser)
     parser.add_argument("--json", action="store_true", help="the table as it comes")
     parser.add_argument("--watch", action="store_true", help="again each second, until interrupted")
 
@@ -66,8 +63,7 @@
     else:
         found = ask(args.admin, "GET", "/owners")
     if args.json:
-        json.dump(found, sys.stdout, indent=2)
-        print()
+        dump(found)
         return 0
     print(plain(OWNERS, owner_rows(found)))
     voters = ", ".join(map(str, found["voters"]))
@@ -84,8 +80,7 @@
         return show_again(HEAD, lambda: rows(ask(args.admin, "GET", "/fleet")))
     found = ask(args.admin, "GET", "/fleet")
     if args.json:
-        json.dump(found, sys.stdout, indent=2)
-        print()
+        dump(found)
     else:
         print(plain(HEAD, rows(found)))
         print(f"{found['director']}: {found['happened']}, {found['up']} of {len(found['directors'])} up")
--- a/rookbend/cli/members.py
+++ b/rookbend/cli/members.py
@@ -4,11 +4,9 @@
 
 import argparse
 import getpass
-import json
-import sys
 
 from rookbend.cli import UsageFault
-from rookbend.cli.tables import ago, ask, plain, show_again
+from rookbend.cli.tables import add_admin, ago, ask, dump, plain, show_again
 
 HELP = "show the members of a running director, or give an order on one"
 EXAMPLE = "rookbend members --admin 127.0.0.1:9100 drain s-00c41f7a"
@@ -18,8 +16,7 @@
 def add(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("order", nargs="?", choices=sorted(ORDERS), help="an order on one member")
     parser.add_argument("member", nargs="?", help="the member's name in the roster")
-    parser.add_argument("--admin", default="127.0.0.1:9100", metavar="HOST:PORT",
-                        help="the director's [admin] listener (default %(default)s)")
+    add_admin(parser)
     parser.add_argument("--fleet", action="store_true", help="the order is for the whole fleet")
     parser.add_argument("--json", action="store_true", help="the table as it comes")
     parser.add_argument("--watch", action="store_true", help="again each second, until interrupted")
@@ -62,8 +59,7 @@
         return show_again(HEAD, lambda: rows(ask(args.admin, "GET", "/members"), args.evidence))
     found = ask(args.admin, "GET", "/members")
     if args.json:
-        json.dump(found, sys.stdout, indent=2)
-        print()
+        dump(found)
     else:
         print(plain(HEAD, rows(found, args.evidence)))
     return 0
--- a/rookbend/cli/recovery.py
+++ b/rookbend/cli/recovery.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import argparse
-import json
-import sys
 
-from rookbend.cli.tables import ask
+from rookbend.cli.tables import add_admin, ask, dump
 
 HELP = "explain where a director stands in its recovery, or hold, resume, skip a stage"
 EXAMPLE = "rookbend recovery --admin 127.0.0.1:9100 explain"
@@ -15,8 +13,7 @@
 
 def add(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("word", nargs="?", choices=WORDS, default="explain", help="default: explain")
-    parser.add_argument("--admin", default="127.0.0.1:9100", metavar="HOST:PORT",
-                        help="the director's [admin] listener (default %(default)s)")
+    add_admin(parser)
     parser.add_argument("--json", action="store_true", help="the answer as it comes")
 
 
@@ -40,8 +37,7 @@
         ask(args.admin, "POST", "/recovery", {"order": args.word})
     found = ask(args.admin, "GET", "/recovery")
     if args.json:
-        json.dump(found, sys.stdout, indent=2)
-        print()
+        dump(found)
     else:
         print(told(found))
     return 0
--- a/rookbend/cli/tables.py
+++ b/rookbend/cli/tables.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import argparse
 import http.client
 import json
+import sys
 import time
 from collections.abc import Callable, Sequence
 
@@ -13,6 +15,17 @@
 WATCH_S = 1.0
 
 
+def add_admin(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--admin", default="127.0.0.1:9100", metavar="HOST:PORT",
+                        help="the director's [admin] listener (default %(default)s)")
+
+
+def dump(found: dict) -> None:
+    """An answer as it came."""
+    json.dump(found, sys.stdout, indent=2)
+    print()
+
+
 def ask(admin: str, method: str, path: str, body: dict | None = None) -> dict:
     """One request to the director. Raises UsageFault where it can't be asked, or says no."""
     host, _, port = admin.rpartition(":")
--- a/rookbend/lab/stage/__init__.py
+++ b/rookbend/lab/stage/__init__.py
@@ -12,6 +12,6 @@
 """
 
 from rookbend.lab.stage.process import Hung
-from rookbend.lab.stage.scene import Scene, stage
+from rookbend.lab.stage.scene import Scene, allow_probes, stage
 
-__all__ = ["Hung", "Scene", "stage"]
+__all__ = ["Hung", "Scene", "allow_probes", "stage"]
--- a/rookbend/lab/stage/scene.py
+++ b/rookbend/lab/stage/scene.py
@@ -75,6 +75,12 @@
     return s
 
 
+def allow_probes(settings: dict) -> dict:
+    """A `Scene.change`: the platform permits checks."""
+    settings["limits"]["probes"] = True
+    return settings
+
+
 class Scene:
     def __init__(self, nursery: trio.Nursery, folder: Path, directors: int, caches: int, parents: int,
                  seed: int, operators: str | Callable[[str], str], rate: float, makes: dict[str, Make],
@@ -187,6 +193,11 @@
             return
         raise Hung(f"never: {what}\n{self.report()}")
 
+    async def served_more(self, count: int) -> None:
+        """Waits for so many more answers that serve."""
+        wanted = self.record.counts["answer", "served"] + count
+        await self.until(lambda: self.record.counts["answer", "served"] >= wanted, f"{count} more served")
+
     async def ask(self, name: str, path: str, method: str = "GET", body: dict | None = None) -> dict:
         """One question to the director's operators' listener; the decoded answer, with its `status`."""
         http = h11.Connection(h11.CLIENT)
--- a/rookbend/net/ownership.py
+++ b/rookbend/net/ownership.py
@@ -14,17 +14,16 @@
 
 from rookbend.net.part import Part, Site
 from rookbend.net.pool import open_socket
+from rookbend.net.recovery import LIFE_BITS
 from rookbend.ownership import checks, duties
 from rookbend.ownership import director as machine
 from rookbend.ownership.lease import Terms
 from rookbend.protocol.ownership import is_ours
 from rookbend.recovery.director import OrderLearnt
-from rookbend.recovery.peers import UP_US
 from rookbend.recovery.share import HEARD_US
 from rookbend.settings.schema import default_voters
 
 LOOK_US = 250_000           # between two looks at who is living, what is found, and what the ramp needs
-LIFE_BITS = 40
 MARGIN_US = 200_000         # what nobody checks ends so long before the lease does
 KINDS = "promise", "token", "log"
 
@@ -42,7 +41,7 @@
         names = machine.DUTIES - (frozenset() if self.health is not None and s.checks else {"checks"})
         if wanted.report_ledger is None and not wanted.report_file:
             names -= {"report"}
-        self.report_duty = duties.duty("report" if wanted.report_ledger is not None else "report-file")
+        duties.duty("report" if wanted.report_ledger is not None else "report-file")
         fleet = s.state.fleet if s.state is not None else s.recovery.fleet
         config = machine.Config(
             rules.router_index, rules.router_count, fleet, int(site.config.seed, 16), voters,
@@ -129,18 +128,23 @@
         self.feed(machine.Counted((c.requests, c.served, c.refused, c.failed)))
 
     def _told(self, a: machine.Told) -> None:
-        board, m = self.health.desk.board, self.machine
-        rows = [row for server, row in board.rows.items()
-                if duties.shard_of(server, m.config.shards) == a.scope]
-        number = board.begin_check()
-        for event in m.follower.evidence(self.now(), a.scope, rows, self.check_names, number):
-            self.health.desk.feed(event)
+        desk, follower = self.health.desk, self.machine.follower
+        number = desk.board.begin_check()
+        for event in follower.evidence(self.now(), a.scope, self._rows(a.scope), self.check_names, number):
+            desk.feed(event)
 
     # Checks
 
+    def _scope_of(self, server: int) -> int:
+        return duties.shard_of(server, self.machine.config.shards)
+
+    def _rows(self, scope: int) -> list:
+        """The board's, of the members of a shard."""
+        return [row for server, row in self.health.desk.board.rows.items() if self._scope_of(server) == scope]
+
     def rests(self, server: int, interval_us: int) -> tuple[bool, int]:
         """Whether a check of that member is ours to make now, and how long the next one rests at least."""
-        scope, now = duties.shard_of(server, self.machine.config.shards), self.now()
+        scope, now = self._scope_of(server), self.now()
         if self.machine.owns(now, scope):
             return True, 0
         if self.machine.follower.fresh(now, scope):
@@ -149,14 +153,12 @@
 
     def _result(self, server: int) -> None:
         """A check of ours has ended: what is news to the others goes out at once."""
-        scope = duties.shard_of(server, self.machine.config.shards)
+        scope = self._scope_of(server)
         if self.machine.owns(self.now(), scope):
             self._find(scope)
 
     def _find(self, scope: int) -> None:
-        rows = [row for server, row in self.health.desk.board.rows.items()
-                if duties.shard_of(server, self.machine.config.shards) == scope]
-        found = machine.Found(scope, *checks.told(rows, self.check_names))
+        found = machine.Found(scope, *checks.told(self._rows(scope), self.check_names))
         if found != self._last.get(scope):
             self._last[scope] = found
             self.feed(found)
@@ -281,9 +283,7 @@
     async def _looks(self) -> None:
         while True:
             now, recovery = self.now(), self.recovery.machine
-            living = frozenset(p.number for p in recovery.peers.rows.values()
-                               if now - max(p.heard_us, p.passed_us) <= UP_US)
-            self.feed(machine.Living(living))
+            self.feed(machine.Living(recovery.peers.living(now)))
             share = recovery.share
             fresh = {n: o for n, o in share.others.items() if now - o.at_us <= 2 * HEARD_US}
             ramp = share.rate is not None or any(o.rate for o in fresh.values())
@@ -300,7 +300,7 @@
     machine.Forget: OwnershipPart._forget, machine.Owned: lambda part, a: None,
     machine.Lost: OwnershipPart._lost,
     machine.OrderStands: OwnershipPart._order_stands, machine.OrderDone: OwnershipPart._order_done,
-    machine.Told: OwnershipPart._told, machine.PartSet: lambda part, a: None,
+    machine.Told: OwnershipPart._told,
     machine.Count: OwnershipPart._count, machine.WriteLine: OwnershipPart._write_line,
     machine.Say: lambda part, a: part.log(a.event, a.level, **a.fields),
 }
--- a/rookbend/ownership/checks.py
+++ b/rookbend/ownership/checks.py
@@ -14,7 +14,6 @@
 from rookbend.core.evidence import Outcome, Words
 from rookbend.health.member import Opinion, Row
 from rookbend.health.model import FULL, AgentHeard, CheckEnded
-from rookbend.ownership.duties import shard_of
 
 BEAT_US = 500_000
 SILENT_US = 2_000_000       # an owner's word counts so long: then each checks for itself
@@ -57,10 +56,9 @@
 
 
 class Follower:
-    """A director that hears of members from their shards' owners. `shards` is how many there are."""
+    """A director that hears of members from their shards' owners."""
 
-    def __init__(self, shards: int):
-        self.count = shards
+    def __init__(self):
         self.shards: dict[int, Shard] = {}
         self.overtaken = 0          # tellings not above the last
 
@@ -88,15 +86,6 @@
         s = self.shards.get(scope)
         return s is not None and s.whole and 0 < s.heard_us and now - s.heard_us < SILENT_US
 
-    def covers(self, now: int, server: int) -> bool:
-        """Whether its owner answers for that member."""
-        return self.fresh(now, shard_of(server, self.count))
-
-    def silent(self, now: int) -> list[int]:
-        """Shards of whose owner nothing is heard."""
-        return [scope for scope in range(shard_of(0, self.count), shard_of(0, self.count) + self.count)
-                if not self.fresh(now, scope)]
-
     def evidence(self, now: int, scope: int, rows: Iterable[Row], checks: list[str],
                  number: int) -> list[CheckEnded | AgentHeard]:
         """What the newest telling is to our board: only what is news, and now and then a word that nothing
@@ -113,12 +102,12 @@
                 said = s.bad.get((server, checks.index(name))) if name in checks else None
                 if said is None and not s.whole:
                     continue        # its owner may not know of it
-                out += _news(now, server, name, o, said or (0, FULL), number, said is not None)
+                out += _news(now, server, name, o, said or (0, FULL), number)
         return out
 
 
-def _news(now: int, server: int, name: str, o: Opinion, said: tuple[int, int], number: int,
-          is_bad: bool) -> list[CheckEnded | AgentHeard]:
+def _news(now: int, server: int, name: str, o: Opinion, said: tuple[int, int],
+          number: int) -> list[CheckEnded | AgentHeard]:
     flags, weight = said
     down, degraded = bool(flags & DOWN), bool(flags & DEGRADED)
     aging = not o.heard or now - o.heard_us >= o.policy.stale_us // 3
--- a/rookbend/ownership/director.py
+++ b/rookbend/ownership/director.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """`duties`: which of the table run. `check_names` in the settings' order."""
+    """`duties`: which of the table run."""
 
     me: int
     count: int
@@ -186,11 +186,6 @@
     scope: int
 
 
-@dataclass(slots=True)
-class PartSet:
-    """The conductor's word on our part has come."""
-
-
 @dataclass(slots=True)
 class Count:
     """Our counters are wanted."""
@@ -206,8 +201,7 @@
     until: int
 
 
-Action = Send | Keep | Forget | Owned | Lost | OrderStands | OrderDone | Told | PartSet | Count \
-    | WriteLine | Say
+Action = Send | Keep | Forget | Owned | Lost | OrderStands | OrderDone | Told | Count | WriteLine | Say
 
 
 @dataclass(slots=True)
@@ -277,7 +271,7 @@
         # Whether this voter's log may lack what it has stored: it is copied first, and read by no writer.
         has_log = any((kind, key) == ("log", "stands") for kind, key, _ in kept)
         self.copying = None if has_log else orders.Copying(config.me)
-        self.follower = checks.Follower(config.shards)
+        self.follower = checks.Follower()
         self.conducted = conductor.Conducted()
         self.report = Report(config.report_us)
         self.writer: orders.Writer | None = None
@@ -289,8 +283,8 @@
         self.living = frozenset({config.me})
         self.ranks: dict[int, list[int]] = {}
         self.top = max([*tokens.values(), *(t for _, t in grants.values())], default=0)
-        # What goes out once a row is on disk, by its key, in the order of putting:
         self.recalled: set[int] = set()     # voters that told a starting one their highest token
+        # What goes out once a row is on disk, by its key, in the order of putting:
         self.votes_due: dict[str, deque[VoteDue]] = {}
         self.appends_due: dict[str, deque[tuple[int, int, int, int]]] = {}      # (peer, life, token, number)
         self.unsafe: set[tuple[int, int]] = set()   # grants that the disk refused: (scope, token)
@@ -350,6 +344,22 @@
     def _head(self) -> tuple[int, int, int]:
         return self.fleet, self.config.me, self.life
 
+    def _asking(self, *rows: tuple[int, int, int]) -> wire.Ask:
+        return wire.Ask(*self._head(), self.sets.digest, self._top(), rows)
+
+    def _to_voters(self, now: int, message: wire.Message) -> None:
+        for voter in sorted(self.sets.all):
+            self._send(now, voter, message)
+
+    def _say_released(self, now: int, scope: int, token: int, successor: int = -1) -> None:
+        self._to_voters(now, wire.Release(*self._head(), ((scope, token, successor),)))
+
+    def _keep_entry(self, entry: wire.Entry, promised: bool = False) -> None:
+        self.out.append(Keep("log", _log_key(entry[0]), msgspec.msgpack.encode(entry), promised))
+
+    def _keep_stands(self) -> None:
+        self.out.append(Keep("log", "stands", msgspec.msgpack.encode(self.log.committed)))
+
     # What is owned
 
     def owns(self, now: int, scope: int) -> int:
@@ -378,8 +388,7 @@
         for scope in self.scopes:
             self._tenure_tick(now, scope, rows)
         if rows:
-            ask = wire.Ask(*self._head(), self.sets.digest, self._top(), ())
-            for data in wire.split(ask, rows):
+            for data in wire.split(self._asking(), rows):
                 for voter in sorted(self.sets.all):
                     self._send_data(now, voter, data)
         self._part(now)
@@ -399,7 +408,7 @@
             return
         self.recalled_us = now
         for voter in self.sets.all - {self.config.me} - self.recalled:
-            self._send(now, voter, wire.Ask(*self._head(), self.sets.digest, self._top(), ()))
+            self._send(now, voter, self._asking())
 
     def _look(self, now: int) -> None:
         """Who owns what, of one voter: an ask that can't be granted is answered with it."""
@@ -409,11 +418,10 @@
         self.looked_us = now
         if self.sets.old is not None:
             for peer in self.sets.unheard():    # which voters they go by
-                self._send(now, peer, wire.Ask(*self._head(), self.sets.digest, self._top(), ()))
+                self._send(now, peer, self._asking())
         rows = [(s, 0, 0) for s in self.scopes if not self.owns(now, s)]
         voter = self.random.choice(others)
-        ask = wire.Ask(*self._head(), self.sets.digest, self._top(), ())
-        for data in wire.split(ask, rows) if rows else ():
+        for data in wire.split(self._asking(), rows) if rows else ():
             self._send_data(now, voter, data)
 
     def _tenure_tick(self, now: int, scope: int, rows: list) -> None:
@@ -453,8 +461,8 @@
     def _give_up(self, now: int, scope: int) -> None:
         """No majority: who has granted is told, so that another may try."""
         tenure, row = self.tenures[scope], self.tries[scope]
-        for voter in sorted(self.sets.all):     # all: one whose vote was lost holds to its grant else
-            self._send(now, voter, wire.Release(*self._head(), ((scope, tenure.token, -1),)))
+        # To all: one whose vote was lost holds to its grant else.
+        self._say_released(now, scope, tenure.token)
         tenure.give_up()
         row.backoff = min(row.backoff + 1, 4)
         row.at_us = now + self._wait(scope) + self._jitter(row.backoff * STAGGER_US)
@@ -510,8 +518,7 @@
         for row in self.parting:
             row[0] -= 1
             _, scope, token, successor = row
-            for voter in sorted(self.sets.all):
-                self._send(now, voter, wire.Release(*self._head(), ((scope, token, successor),)))
+            self._say_released(now, scope, token, successor)
             if successor >= 0:
                 self._send(now, successor, wire.Take(*self._head(), ((scope, token),)))
         self.parting = [row for row in self.parting if row[0] > 0]
@@ -696,9 +703,7 @@
                 self.top = max(self.top, min(token, self._believable(now)))
                 row.taken_us = now
                 round_ = self._begin(now, scope)
-                ask = wire.Ask(*self._head(), self.sets.digest, self._top(), ((scope, self.top, round_),))
-                for voter in sorted(self.sets.all):
-                    self._send(now, voter, ask)
+                self._to_voters(now, self._asking((scope, self.top, round_)))
 
     # Receivers
 
@@ -725,8 +730,7 @@
         if tenure is not None and tenure.phase is Phase.OWNED and highest > tenure.token:
             token = tenure.token
             self._lost(now, m.scope, f"director {sender} knows a newer owner")
-            for voter in sorted(self.sets.all):
-                self._send(now, voter, wire.Release(*self._head(), ((m.scope, token, -1),)))
+            self._say_released(now, m.scope, token)
 
     # Duties
 
@@ -808,9 +812,8 @@
         self.calls = event.calls
 
     def _share(self, now: int, sender: int, m: wire.Share) -> None:
-        if (sender == self.config.me or self._accept(now, sender, CONDUCTOR, m.token)) and \
-                self.conducted.take(now, m.token, m.sequence, m.millionths, m.valid_ms * 1000):
-            self.out.append(PartSet())
+        if sender == self.config.me or self._accept(now, sender, CONDUCTOR, m.token):
+            self.conducted.take(now, m.token, m.sequence, m.millionths, m.valid_ms * 1000)
 
     # Orders
 
@@ -827,8 +830,7 @@
             self._send(now, place, wire.Given(*self._head(), e.id, e.member, e.order, e.by))
         elif ORDERS in self.tries:
             for voter in self.sets.all - {self.config.me}:  # who it is: a refusal of this tells
-                self._send(now, voter, wire.Ask(*self._head(), self.sets.digest, self._top(),
-                                                ((ORDERS, 0, 0),)))
+                self._send(now, voter, self._asking((ORDERS, 0, 0)))
             if self.config.me in self.sets.all and (grant := self.voter.grants.get(ORDERS)) is not None \
                     and now < grant.until:
                 self.tries[ORDERS].place = grant.holder[0]
@@ -879,10 +881,10 @@
         if m.entry is not None:
             number = m.entry[0]
             if self.log.put(m.entry):
-                key = f"{number:012d}"
-                self.appends_due.setdefault(key, deque()).append((sender, m.life, m.token, number))
-                self.out.append(Keep("log", key, msgspec.msgpack.encode(m.entry), True))
-            elif self.log.entries[number] == m.entry and f"{number:012d}" not in self.appends_due:
+                due = self.appends_due.setdefault(_log_key(number), deque())
+                due.append((sender, m.life, m.token, number))
+                self._keep_entry(m.entry, promised=True)
+            elif self.log.entries[number] == m.entry and _log_key(number) not in self.appends_due:
                 self._send(now, sender, wire.Appended(*self._head(), m.life, m.token, number))
         if sender != self.config.me:
             self.log.stands_to(m.committed, m.token)
@@ -957,16 +959,16 @@
         self.copying = None
         for entry in copying.newest():
             if self.log.put(entry):
-                self.out.append(Keep("log", f"{entry[0]:012d}", msgspec.msgpack.encode(entry)))
+                self._keep_entry(entry)
         self.log.committed = max(self.log.committed, copying.stands)
-        self.out.append(Keep("log", "stands", msgspec.msgpack.encode(self.log.committed)))
+        self._keep_stands()
         self._apply()
 
     def _apply(self) -> None:
         """What stands takes effect, in order."""
         unsaved, self.log.unsaved = self.log.unsaved, []
         for entry in unsaved:       # before the number up to which they stand
-            self.out.append(Keep("log", f"{entry[0]:012d}", msgspec.msgpack.encode(entry)))
+            self._keep_entry(entry)
         due = self.log.due()
         for _, _, member, order, by, _ in due:
             if not member:
@@ -985,9 +987,9 @@
                 self.pins.pop(scope, None)
             self.ranks.pop(scope, None)
         if due:
-            self.out.append(Keep("log", "stands", msgspec.msgpack.encode(self.log.committed)))
+            self._keep_stands()
         for number in self.log.compact():
-            self.out.append(Forget("log", f"{number:012d}"))
+            self.out.append(Forget("log", _log_key(number)))
 
     def _orders_tick(self, now: int) -> None:
         if ORDERS not in self.tenures:
@@ -998,7 +1000,7 @@
                 self._send(now, voter, wire.Fetch(*self._head(), orders.COPY, self.copying.read_from(voter)))
             if self.copying.done(self.sets.needed):     # the only voter there is
                 self.copying = None
-                self.out.append(Keep("log", "stands", msgspec.msgpack.encode(self.log.committed)))
+                self._keep_stands()
         if self.owns(now, ORDERS):
             idle = self.writer is not None and not self.writer.reading and not self.writer.out
             if now - self.appended_us >= (FETCH_US if idle else APPEND_US):
@@ -1045,6 +1047,10 @@
                 "changes": self.changes, "turned_away": self.turned_away}
 
 
+def _log_key(number: int) -> str:
+    return f"{number:012d}"
+
+
 def _first(due: dict[str, deque], key: str):
     """What has waited longest for that row, taken out; None where nothing does."""
     waiting = due.get(key)
--- a/rookbend/ownership/orders.py
+++ b/rookbend/ownership/orders.py
@@ -21,6 +21,12 @@
 WAITING = 200               # orders that wait for the writer
 
 
+def outranks(entries: Mapping[int, Entry], entry: Entry) -> bool:
+    """Whether of that number there is nothing, or something with an older token."""
+    old = entries.get(entry[0])
+    return old is None or entry[1] > old[1]
+
+
 class Log:
     def __init__(self, entries: Mapping[int, Entry] | None = None, committed: int = 0):
         self.entries: dict[int, Entry] = dict(sorted((entries or {}).items()))
@@ -33,13 +39,15 @@
         return max(self.entries, default=0)
 
     def put(self, entry: Entry) -> bool:
-        """Whether it is new here: nothing with that number, or something with an older token."""
-        old = self.entries.get(entry[0])
-        if old is not None and old[1] >= entry[1]:
+        """Whether it is new here."""
+        if not outranks(self.entries, entry):
             return False
+        self._store(entry)
+        return True
+
+    def _store(self, entry: Entry) -> None:
         self.entries[entry[0]] = entry
         self.by_whose[entry[5]] = entry[0]
-        return True
 
     def stands(self, whose: tuple[int, int, int]) -> bool:
         """Whether that order stands already."""
@@ -61,8 +69,7 @@
         for entry in entries:
             old = self.entries.get(entry[0])
             if entry[0] > self.committed and entry[0] <= upto and old != entry:
-                self.entries[entry[0]] = entry
-                self.by_whose[entry[5]] = entry[0]
+                self._store(entry)
                 self.unsaved.append(entry)
         self.committed = max(self.committed, upto)
 
@@ -114,8 +121,7 @@
         self.blank.discard(voter)
         self.stands = max(self.stands, committed)
         for entry in entries:
-            old = self.entries.get(entry[0])
-            if old is None or entry[1] > old[1]:
+            if outranks(self.entries, entry):
                 self.entries[entry[0]] = entry
         self.reads[voter] = entries[-1][0] if entries else max(last, after)
         if self.reads[voter] >= last:
@@ -186,7 +192,7 @@
         newest: dict[int, Entry] = {}
         for voter in voters:
             for number, entry in self.found[voter].items():
-                if number > stands and (number not in newest or entry[1] > newest[number][1]):
+                if number > stands and outranks(newest, entry):
                     newest[number] = entry
         last = max(newest, default=stands)
         for number in range(stands + 1, last + 1):
--- a/rookbend/protocol/admin.py
+++ b/rookbend/protocol/admin.py
@@ -86,27 +86,29 @@
         """A form on a page in a browser can't send that."""
         return request.headers.get(b"content-type", b"").startswith(b"application/json")
 
-    def _command(self, request: HttpRequest) -> Reply:
+    def _words(self, request: HttpRequest, kind: type, orders: tuple[str, ...]):
+        """The order in a request, or the reply that says why there is none."""
         if not self._is_json(request):
             return _fault(415, "an order is application/json")
         try:
-            word = msgspec.json.decode(request.body, type=StageWords).order
+            words = msgspec.json.decode(request.body, type=kind)
         except msgspec.MsgspecError as error:
             return _fault(400, str(error))
-        if word not in STAGE_ORDERS:
-            return _fault(400, f"no order {word!r}: {', '.join(STAGE_ORDERS)}")
-        self.command(word)
-        return 200, msgspec.json.encode({"order": word}) + b"\n", JSON
+        if words.order not in orders:
+            return _fault(400, f"no order {words.order!r}: {', '.join(orders)}")
+        return words
+
+    def _command(self, request: HttpRequest) -> Reply:
+        words = self._words(request, StageWords, STAGE_ORDERS)
+        if not isinstance(words, StageWords):
+            return words
+        self.command(words.order)
+        return 200, msgspec.json.encode({"order": words.order}) + b"\n", JSON
 
     async def _own(self, request: HttpRequest) -> Reply:
-        if not self._is_json(request):
-            return _fault(415, "an order is application/json")
-        try:
-            words = msgspec.json.decode(request.body, type=OwnerWords)
-        except msgspec.MsgspecError as error:
-            return _fault(400, str(error))
-        if words.order not in OWNER_ORDERS:
-            return _fault(400, f"no order {words.order!r}: {', '.join(OWNER_ORDERS)}")
+        words = self._words(request, OwnerWords, OWNER_ORDERS)
+        if not isinstance(words, OwnerWords):
+            return words
         if words.order == "without":    # a dry run: changes nothing
             return 200, msgspec.json.encode(self.own.describe(words.place)) + b"\n", JSON
         status, fault = await self.own.command(words.order, words.scope, words.place)
--- a/rookbend/recovery/peers.py
+++ b/rookbend/recovery/peers.py
@@ -109,8 +109,13 @@
 
     def up(self, now: int) -> int:
         """How many directors there is a sign of life of, ourselves among them."""
-        return 1 + sum(now - max(p.heard_us, p.passed_us) <= UP_US for p in self.rows.values()
-                       if p.heard_us or p.passed_us)
+        return len(self.living(now))
+
+    def living(self, now: int) -> frozenset[int]:
+        """Their places."""
+        return frozenset((self.me, *(
+            p.number for p in self.rows.values()
+            if (p.heard_us or p.passed_us) and now - max(p.heard_us, p.passed_us) <= UP_US)))
 
     def known_of(self, number: int) -> tuple[int, int]:
         """What goes into `yours`: the highest boot number and its life."""
--- a/tests/test_ownership_processes.py
+++ b/tests/test_ownership_processes.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from rookbend.lab.stage import stage
+from rookbend.lab.stage import allow_probes, stage
 from rookbend.lab.stage.process import AFTER_SEND, BEFORE_SEND, IN_SYNC
 
 OWNERSHIP = """
@@ -39,7 +39,7 @@
 @asynccontextmanager
 async def fleet(directors=4, rate=0.0, operators=OWNERSHIP, **more):
     async with stage(directors, caches=3, rate=rate, operators=operators, **more) as scene:
-        allow_probes(scene)
+        scene.change = allow_probes
         await scene.start()
         for name in scene.names:
             await scene.nodes[name].said("ready")
@@ -50,13 +50,6 @@
         assert_no_old_owner(scene)
 
 
-def allow_probes(scene):
-    def change(settings):
-        settings["limits"]["probes"] = True
-        return settings
-    scene.change = change
-
-
 def assert_no_old_owner(scene):
     """No line was taken with a token older than one taken before, and none twice."""
     taken = [t for t in scene.ledger.tries if t.word == "ok"]
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -55,11 +55,6 @@
         await scene.until_told(name, "/recovery", lambda found: found["digests"]["order"] == owner)
 
 
-async def served_more(scene, count):
-    before = scene.record.counts["answer", "served"]
-    await scene.until(lambda: scene.record.counts["answer", "served"] >= before + count, f"{count} more served")
-
-
 def test_all_lose_power_amid_writes_three_times_and_return_in_other_orders():
     async def main():
         async with fleet() as scene:
@@ -75,7 +70,7 @@
             await all_reach(scene)
             assert [told(scene, n, "state_open")[0]["boot"] for n in scene.names] == [4, 4, 4]
             assert all(told(scene, n, "recovery_happened", happened="whole") for n in scene.names)
-            await served_more(scene, 30)
+            await scene.served_more(30)
             assert all(len(rids) == len(set(rids)) for rids in scene.world.ran.values()), "no id ran twice"
     trio.run(main)
 
@@ -91,7 +86,7 @@
             stage_line = await scene.nodes["n1"].said("recovery_stage", stage="serving")
             assert stage_line["happened"] == "alone" and stage_line["after_ms"] < 1000
             scene.freeze("n2")
-            await served_more(scene, 60)
+            await scene.served_more(60)
             scene.thaw("n2")
             stages = len(told(scene, "n2", "recovery_stage"))
             found = await scene.ask("n2", "/recovery")
@@ -108,14 +103,14 @@
             scene.coordinator.tell_members("c0")
             for name in scene.names:
                 await scene.until_told(name, "/recovery", lambda found: "c0" in found["drains"])
-            await served_more(scene, 30)        # what was on its way to c0 has ended, what was put is synced
+            await scene.served_more(30)        # what was on its way to c0 has ended, what was put is synced
             scene.power_off(*scene.names)
             scene.coordinator.go()
             asked = scene.boxes["c0"].asked
             for name in scene.names:
                 await scene.power_on(name, known=older[name])
             await all_reach(scene, "fills")
-            await served_more(scene, 60)
+            await scene.served_more(60)
             assert scene.boxes["c0"].asked == asked, "an old permission opened a drained box"
             scene.coordinator.back()
     trio.run(main)
@@ -125,14 +120,14 @@
 def test_a_purge_before_the_loss_and_one_while_dark_void_older_copies(dark):
     async def main():
         async with fleet(rate=80) as scene:
-            await served_more(scene, 150)
+            await scene.served_more(150)
             hot = max(scene.front.names[:3], key=lambda k: sum(w.key == k for w in scene.front.wishes))
             empty = {"index": 0, "updates": []}
             if not dark:
                 made = scene.coordinator.purge(key=hot)
                 for name in scene.names:
                     await scene.until(lambda n=name: scene.coordinator.told[n] >= scene.coordinator.index, "told")
-                await served_more(scene, 30)
+                await scene.served_more(30)
             scene.power_off(*scene.names)       # the caches keep their copies
             if dark:
                 made = scene.coordinator.purge(key=hot)
@@ -362,7 +357,7 @@
             scene.vanish("n2")
             scene.vanish("c1")
             await all_reach(scene, names=("n0", "n1"))
-            await served_more(scene, 30)
+            await scene.served_more(30)
             scene.vanish("n2", gone=False)
             scene.vanish("c1", gone=False)
             await all_reach(scene, names=("n2",))
