No caller ends a director by a HEAD request and then what is no HTTP

What callers saw: one connection to [admin] or [http-server] (HEAD, answered, then bytes that are no HTTP) ended the director with code 1; open requests of its clients were lost. Cause: the 400 for those bytes was built under the method of the previous request, so without a body, while h11 was in its next cycle and expected the announced one: LocalProtocolError out of HttpServerConnection, with nothing between it and the main nursery. Change: a request is forgotten once its response is complete. Same fault elsewhere: CONNECT answered with 2xx raised too (hidden, since the servers answer 404 or 405); the codec rejects it with 405.

--- a/rookbend/protocol/http_server.py
+++ b/rookbend/protocol/http_server.py
@@ -9,6 +9,7 @@
 
 MAX_HEAD_BYTES = 8 << 10
 MAX_BODY_BYTES = 64 << 10
+METHOD_NOT_ALLOWED = 405
 CONTENT_TOO_LARGE = 413
 
 
@@ -65,6 +66,9 @@
             event = self._http.next_event()
             if isinstance(event, h11.Request):
                 self._request = _request_of(event)
+                if self._request.method == "CONNECT":  # a 2xx response to it would open a tunnel
+                    self._reject(METHOD_NOT_ALLOWED)
+                    return None
             elif isinstance(event, h11.Data):
                 assert self._request is not None
                 self._request.body += bytes(event.data)
@@ -97,6 +101,7 @@
             self.ended = True
         elif not self.ended:
             self._http.start_next_cycle()
+            self._request = None  # a rejection of what follows is no response to it
         return data
 
 
