No response of a resolver ends a director: an address counts only in class IN

What callers saw: a director with [dns] ended (code 1) where its resolver answered with an A or AAAA record of another class. Cause: dnspython gives such a record as GenericRdata without `address`: AttributeError out of parse_addresses, which ResolverClient does not expect. Change: only records of class IN are addresses; without one the lookup gets SERVFAIL.

--- a/rookbend/protocol/dns_resolver.py
+++ b/rookbend/protocol/dns_resolver.py
@@ -6,6 +6,7 @@
 import dns.flags
 import dns.message
 import dns.rcode
+import dns.rdataclass
 
 from rookbend.protocol.dns import ADDRESS_TYPES
 from rookbend.protocol.errors import ProtocolError
@@ -43,4 +44,9 @@
         return None
     if response.rcode() != dns.rcode.NOERROR:
         raise ResolverError(dns.rcode.to_text(response.rcode()))
-    return [record.address for rrset in response.answer if rrset.rdtype in ADDRESS_TYPES for record in rrset]
+    return [
+        record.address
+        for rrset in response.answer
+        if rrset.rdclass == dns.rdataclass.IN and rrset.rdtype in ADDRESS_TYPES
+        for record in rrset
+    ]
--- a/tests/dns_stand_ins.py
+++ b/tests/dns_stand_ins.py
@@ -93,6 +93,9 @@
         reply = dns.message.make_response(self.query)
         if words[0] == "truncated":
             reply.flags |= dns.flags.TC
+        elif words[0] == "hesiod":
+            name = self.query.question[0].name
+            reply.answer.append(dns.rrset.from_text(name, 300, "HS", "A", r"\# 4 7f00000b"))
         elif words[0].isalpha():
             reply.set_rcode(dns.rcode.from_text(words[0]))
         else:
--- a/tests/test_dns_front.py
+++ b/tests/test_dns_front.py
@@ -24,6 +24,15 @@
     assert play(NAMED).counters.served == 1
 
 
+def test_a_lookup_fails_alone_where_the_resolver_answers_with_another_class():
+    # Guards against an address record of another class than IN, which ended the director.
+    lookup = NAMED.split("resolver send")[0]
+    served = play(
+        f"{lookup} resolver send hesiod \n dns expect udp id=7 SERVFAIL unnamed" + NAMED.replace("id=7", "id=8")
+    )
+    assert served.counters.served == 2
+
+
 def test_a_drained_box_is_not_named_though_the_resolver_hands_it_out():
     """The hard case: cache1 drains, and the resolver goes on giving its address under its name."""
     play(
