The state database runs with the settings that the code names

What callers saw: nothing; what a director stores hung on SQLite's defaults. Cause: three pragmas in one execute; apsw's cursor stops at the first that returns a row (locking_mode), so journal_mode=WAL and synchronous=FULL never ran. Evidence: a planted synchronous=OFF changed nothing; the open database answers exclusive, delete, 2. Change: each pragma runs by itself, to its end.

--- a/rookbend/state/disk.py
+++ b/rookbend/state/disk.py
@@ -37,6 +37,12 @@
 META_NAMES = frozenset(("schema", "name", "fleet", "boot"))
 FAULTS = (apsw.FullError, "disk full"), (apsw.ReadOnlyError, "read-only")
 CHECKPOINT_PAGES = 256  # bounds the WAL file
+PRAGMAS = (
+    "locking_mode=EXCLUSIVE",
+    "journal_mode=WAL",
+    "synchronous=FULL",
+    f"wal_autocheckpoint={CHECKPOINT_PAGES}",
+)
 
 
 class Disk:
@@ -89,8 +95,8 @@
     def _load(self) -> None:
         self._db = db = apsw.Connection(str(self.folder / FILE))
         db.set_busy_timeout(0)
-        db.execute("PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL")
-        db.execute(f"PRAGMA wal_autocheckpoint={CHECKPOINT_PAGES}")
+        for pragma in PRAGMAS:  # one at a time: a cursor stops at the first that returns a row
+            db.execute(f"PRAGMA {pragma}").fetchall()
         found = db.execute("PRAGMA quick_check(1)").fetchall()
         if found != [("ok",)]:
             raise apsw.CorruptError(str(found[0][0]))
--- a/rookbend/testing/cluster/shim/faultydisk.py
+++ b/rookbend/testing/cluster/shim/faultydisk.py
@@ -6,6 +6,7 @@
 (`disk.tear`). The word in the stage's file `disk` makes writes fail: `full`, `read-only`.
 """
 
+import contextlib
 import mmap
 import os
 import signal
@@ -91,5 +92,10 @@
             return Forgetful(name, flags)
         return super().xOpen(name, flags)
 
+    def xDelete(self, filename, syncdir):
+        super().xDelete(filename, syncdir)
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(filename + ".unsynced")
+
 
 VFS = Vfs()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -175,6 +175,16 @@
     assert rows == {"a": b"1", "b": b"2"} and disk.boot_number == 3 and not disk.moved_aside
 
 
+def test_every_setting_of_the_database_is_in_force(tmp_path):
+    # Guards against pragmas that are named but never run: durability would hang on the library's defaults.
+    disk = Disk(tmp_path, ME)
+    in_force = [
+        disk._db.execute(f"PRAGMA {name}").fetchone()[0] for name in ("locking_mode", "journal_mode", "synchronous")
+    ]
+    disk.close()
+    assert in_force == ["exclusive", "wal", 2]
+
+
 @pytest.mark.parametrize(
     "identity, fault",
     [
