An order for the fleet is sent to the leader that the voters name, not asked for again and again

Cause: every retry forgot the leader before it asked the voters for it; their answer was forgotten by the next one. After the second try no order was sent any more. Change: an order knows whether its last try asked the voters; once they have answered it goes to the leader at the next tick; only a leader that was sent the order and did not answer is forgotten.

--- a/rookbend/leases/order_requests.py
+++ b/rookbend/leases/order_requests.py
@@ -22,11 +22,12 @@
 
 @dataclass(slots=True)
 class SubmittedOrder:
-    """An order without an outcome yet."""
+    """An order without an outcome yet; `asked_voters`: the last try asked who the leader is, and sent no order."""
 
     event: OrderRequested
     began_us: int
     sent_us: int = 0
+    asked_voters: bool = False
 
 
 class OrderRequests:
@@ -57,6 +58,7 @@
 
     def _send(self, now_us: int, request: SubmittedOrder, leader: OrderLeader) -> None:
         request.sent_us = now_us
+        request.asked_voters = False
         event = request.event
         if self._leases.held_token(now_us, ORDERS_SCOPE):
             origin = OrderOrigin(self._director, self._messenger.header[2], event.id)
@@ -69,6 +71,7 @@
             message = SubmitOrder(*self._messenger.header, event.id, event.target, event.order, event.operator)
             self._messenger.send(now_us, candidacy.known_holder, message)
         else:
+            request.asked_voters = True
             self._find_leader(now_us)
 
     def _find_leader(self, now_us: int) -> None:
@@ -95,8 +98,10 @@
         for order_id, request in list(self._open.items()):
             if now_us - request.began_us >= TIMEOUT_US:
                 self.complete(order_id, self._timeout_error(candidacy.known_holder))
+            elif request.asked_voters and candidacy.known_holder not in (NO_DIRECTOR, self._director):
+                self._send(now_us, request, leader)  # the voters have answered
             elif now_us - request.sent_us >= RETRY_INTERVAL_US:
-                if request.sent_us != request.began_us:
+                if not request.asked_voters and candidacy.known_holder != self._director:
                     candidacy.known_holder = NO_DIRECTOR  # it does not answer: the voters know better
                 self._send(now_us, request, leader)
 
