--- a/rookbend/testing/cluster/__init__.py
+++ b/rookbend/testing/cluster/__init__.py
@@ -20,6 +20,7 @@
 
 from rookbend.testing.cluster.director_config import allow_probes
 from rookbend.testing.cluster.process import HungProcessError
-from rookbend.testing.cluster.scenario import Scene, stage
+from rookbend.testing.cluster.scenario import Scene
+from rookbend.testing.cluster.scenario_runner import stage
 
 __all__ = ["HungProcessError", "Scene", "allow_probes", "stage"]
--- a/rookbend/testing/cluster/scenario.py
+++ b/rookbend/testing/cluster/scenario.py
@@ -8,24 +8,20 @@
         await scene.nodes["n1"].said("ready")
         scene.verdict()
 
-Directors are n0, n1, ...; caches c0, c1, ...; parents p0, ...; the origin is `records`. Hosts lie in a /16 of
-127.0.0.0/8 that the process picks by its id, so that two stages on one machine do not meet.
+Directors are n0, n1, ...; caches c0, c1, ...; parents p0, ...; the origin is `records`.
 """
 
 from __future__ import annotations
 
-import os
 import socket
-import tempfile
 from collections.abc import Callable
-from contextlib import asynccontextmanager
 from pathlib import Path
 
 import trio
 
 from rookbend.protocol.coordinator_stream import split_address
 from rookbend.testing import fault_timeline, fault_timeline_format
-from rookbend.testing.cluster import failure_record
+from rookbend.testing.cluster.address_block import AddressBlock
 from rookbend.testing.cluster.admin_client import Asking
 from rookbend.testing.cluster.clients import Front
 from rookbend.testing.cluster.coordinator import Coordinator
@@ -60,7 +56,8 @@
         notice_s: float,
     ):
         self.nursery, self.folder, self.seed, self.operators = nursery, folder, seed, operators
-        self.net = f"127.{10 + os.getpid() % 200}"
+        self.addresses = AddressBlock()
+        self.net = self.addresses.prefix
         self.record = Record(InvariantLimits(slack_us=150_000, purge_retention_us=2 * PURGE_LIFE_US))
         self.world, self.ways = World(self.record, seed), Ways()
         self.names = [f"n{i}" for i in range(directors)]
@@ -220,60 +217,4 @@
         for node in every:
             if node.process is not None:
                 await node.ended()
-
-
-@asynccontextmanager
-async def stage(
-    directors: int = 3,
-    caches: int = 4,
-    parents: int = 1,
-    seed: int = 7,
-    operators: str | Callable[[str], str] = "",
-    rate: float = 0.0,
-    makes: dict[str, Make] | None = None,
-    checkout: Path | None = None,
-    folder: Path | None = None,
-    notice_s: float = 1.0,
-):
-    """An open scene, whose directors are not started yet. With a `rate` clients ask so often a second, all
-    together, from the first admission on. `operators` is the settings' text of all, or by name; in it
-    `{state}` is a folder that outlives the process, `{dns}` where its DNS front may listen, `{resolver}` a
-    stand-in that knows the members as that director does, `{ledger}` where it reaches the stand-in ledger."""
-    with tempfile.TemporaryDirectory(prefix="rookbend-stage-") as made:
-        scene: Scene | None = None
-        try:
-            async with trio.open_nursery() as nursery:
-                scene = Scene(
-                    nursery,
-                    folder or Path(made),
-                    directors,
-                    caches,
-                    parents,
-                    seed,
-                    operators,
-                    rate,
-                    makes or {},
-                    checkout,
-                    notice_s,
-                )
-                await scene.open()
-                if rate:
-                    nursery.start_soon(_when_admitted, scene)
-                try:
-                    yield scene
-                finally:
-                    with trio.CancelScope(shield=True):
-                        scene.front.running.cancel()
-                        await scene.stop()
-                nursery.cancel_scope.cancel()
-        except Exception as error:
-            if scene is not None:
-                failure_record.annotate(error, scene)
-            raise
-
-
-async def _when_admitted(scene: Scene) -> None:
-    while not any(t.admitted for t in scene.front.targets.values()):
-        await scene.front.changed.wait()
-    scene.record.note("fault", "clients", "begin")
-    await scene.front.run()
+        self.addresses.release()
--- /dev/null
+++ b/rookbend/testing/cluster/scenario_runner.py
@@ -0,0 +1,71 @@
+"""Opens a scene, ends it and all that it started, and keeps what a failed one leaves behind."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from rookbend.testing.cluster import failure_record
+from rookbend.testing.cluster.scenario import Scene
+from rookbend.testing.cluster.shared_state import Make
+
+
+@asynccontextmanager
+async def stage(
+    directors: int = 3,
+    caches: int = 4,
+    parents: int = 1,
+    seed: int = 7,
+    operators: str | Callable[[str], str] = "",
+    rate: float = 0.0,
+    makes: dict[str, Make] | None = None,
+    checkout: Path | None = None,
+    folder: Path | None = None,
+    notice_s: float = 1.0,
+) -> AsyncIterator[Scene]:
+    """An open scene, whose directors are not started yet. With a `rate` clients ask so often a second, all
+    together, from the first admission on. `operators` is the settings' text of all, or by name; in it
+    `{state}` is a folder that outlives the process, `{dns}` where its DNS front may listen, `{resolver}` a
+    stand-in that knows the members as that director does, `{ledger}` where it reaches the stand-in ledger."""
+    with tempfile.TemporaryDirectory(prefix="rookbend-stage-") as made:
+        scene: Scene | None = None
+        try:
+            async with trio.open_nursery() as nursery:
+                scene = Scene(
+                    nursery,
+                    folder or Path(made),
+                    directors,
+                    caches,
+                    parents,
+                    seed,
+                    operators,
+                    rate,
+                    makes or {},
+                    checkout,
+                    notice_s,
+                )
+                await scene.open()
+                if rate:
+                    nursery.start_soon(_when_admitted, scene)
+                try:
+                    yield scene
+                finally:
+                    with trio.CancelScope(shield=True):
+                        scene.front.running.cancel()
+                        await scene.stop()
+                nursery.cancel_scope.cancel()
+        except Exception as error:
+            if scene is not None:
+                failure_record.annotate(error, scene)
+            raise
+
+
+async def _when_admitted(scene: Scene) -> None:
+    while not any(t.admitted for t in scene.front.targets.values()):
+        await scene.front.changed.wait()
+    scene.record.note("fault", "clients", "begin")
+    await scene.front.run()
--- /dev/null
+++ b/tests/test_address_block.py
@@ -0,0 +1,38 @@
+"""Scenes of several processes on one machine use addresses of their own."""
+
+import socket
+
+import pytest
+
+from rookbend.testing.cluster import address_block
+from rookbend.testing.cluster.address_block import AddressBlock, NoFreeAddressBlockError
+
+
+def test_two_scenes_whose_processes_ids_lead_to_one_block_do_not_meet(monkeypatch):
+    # Guards against "Address already in use" where two tests of several processes run at once.
+    monkeypatch.setattr(address_block.os, "getpid", lambda: 4242)
+    first, second = AddressBlock(), AddressBlock()
+    assert first.prefix != second.prefix
+    freed = first.prefix
+    first.release()
+    third = AddressBlock()
+    assert third.prefix == freed
+    second.release()
+    third.release()
+
+
+def test_where_no_block_is_left_the_scene_says_so(monkeypatch):
+    monkeypatch.setattr(address_block, "CLAIM_NAME", f"\0rookbend-test-{id(monkeypatch)}-")
+    monkeypatch.setattr(address_block, "BLOCKS", 2)
+    taken = [AddressBlock(), AddressBlock()]
+    with pytest.raises(NoFreeAddressBlockError, match="2 blocks"):
+        AddressBlock()
+    for block in taken:
+        block.release()
+
+
+def test_every_block_is_of_the_loopback_range():
+    assert all(
+        socket.inet_aton(f"127.{address_block.FIRST_BLOCK + number}.0.1")[0] == 127
+        for number in range(address_block.BLOCKS)
+    )
--- a/tests/test_dns_front.py
+++ b/tests/test_dns_front.py
@@ -1,7 +1,5 @@
 """The DNS front on loopback, with stand-in resolver, caches and client."""
 
-import pytest
-
 from rookbend.core.model import Endpoint, MembershipChange
 from rookbend.interface import Member, MemberState
 from rookbend.protocol.coordinator_stream import server_number
@@ -24,15 +22,6 @@
     assert play(NAMED).counters.served == 1
 
 
-def test_a_lookup_fails_alone_where_the_resolver_answers_with_another_class():
-    # Guards against an address record of another class than IN, which ended the director.
-    lookup = NAMED.split("resolver send")[0]
-    served = play(
-        f"{lookup} resolver send hesiod \n dns expect udp id=7 SERVFAIL unnamed" + NAMED.replace("id=7", "id=8")
-    )
-    assert served.counters.served == 2
-
-
 def test_a_drained_box_is_not_named_though_the_resolver_hands_it_out():
     """The hard case: cache1 drains, and the resolver goes on giving its address under its name."""
     play(
@@ -227,114 +216,6 @@
     """)
 
 
-def test_a_silent_resolver_is_asked_again_and_costs_the_answer_by_the_deadline():
-    play(f"""
-        dns send {READ}
-        cache1 expect do k={OBJ}
-        cache1 send ok note=mem body=hello
-        resolver expect cache1.example.org
-        resolver expect cache1.example.org
-        director wait 3
-        dns expect SERVFAIL unnamed
-        dns expect nothing
-    """)
-
-
-@pytest.mark.parametrize("says", ["SERVFAIL", "NXDOMAIN", "192.0.2.1"])
-def test_a_resolver_that_fails_or_names_a_stranger_gives_no_box(says):
-    play(f"""
-        dns send {READ}
-        cache1 expect do k={OBJ}
-        cache1 send ok note=mem body=hello
-        resolver expect cache1.example.org
-        resolver send {says}
-        dns expect SERVFAIL unnamed
-    """)
-
-
-def test_a_resolvers_reply_that_is_cut_off_is_asked_for_over_tcp():
-    play(f"""
-        dns send {READ}
-        cache1 expect do k={OBJ}
-        cache1 send ok note=mem body=hello
-        resolver expect cache1.example.org
-        resolver send truncated
-        resolver expect cache1.example.org
-        resolver send 127.0.0.11
-        dns expect NOERROR cache1.example.org 127.0.0.11
-    """)
-
-
-def test_a_reply_too_long_for_a_datagram_is_truncated_and_whole_over_tcp():
-    long = ".".join(["x" * 60] * 3) + ".example.org"
-    name = READ.replace("route.example.org", long)
-    box_name = "{id}." + ".".join(["y" * 60] * 3 + ["z" * 40]) + ".example.net"
-    play(
-        f"""
-        dns send {name} plain id=5
-        cache1 expect do k={OBJ}
-        cache1 send ok note=mem body=hello
-        resolver expect {box_name.format(id="cache1")}
-        resolver send 127.0.0.11
-        dns expect udp id=5 truncated unnamed
-        dns send tcp {name} plain id=6
-        cache1 expect do k={OBJ}
-        cache1 send ok note=mem body=hello
-        resolver expect {box_name.format(id="cache1")}
-        resolver send 127.0.0.11
-        dns expect tcp id=6 NOERROR 127.0.0.11
-    """,
-        dns=f"zone {long}\n box-name {box_name}",
-    )
-
-
-@pytest.mark.parametrize(
-    "name, rcode",
-    [
-        ("www.elsewhere.example.com", "REFUSED"),
-        (READ.replace("video", "no-class"), "NXDOMAIN"),
-        (READ.replace("p0", "p-1"), "FORMERR"),
-        (READ.replace("g1", "g256"), "FORMERR"),
-        (READ.replace(OBJ, "7f3a"), "FORMERR"),
-        ("x." + READ, "FORMERR"),
-        (WRITE.split(".", 1)[1], "FORMERR"),
-        (READ.replace("p0", "r9b1f03aa5c7e2d41.p0"), "FORMERR"),
-        ("route.example.org", "NOERROR"),
-        (READ + " type=TXT", "NOERROR"),
-    ],
-)
-def test_names_that_are_no_lookup_are_answered_at_once(name, rcode):
-    service = play(f"""
-        dns send {name}
-        dns expect {rcode} unnamed
-        cache1 expect nothing
-    """)
-    assert service.counters.requests == 0
-
-
-@pytest.mark.parametrize(
-    "raw, rcode",
-    [
-        ("0005010000010000000000000361", "FORMERR"),  # a question cut short
-        ("000501000000000000000000", "FORMERR"),  # no question
-        ("0005200000010000000000000161000001" + "0001", "NOTIMP"),
-    ],
-)
-def test_malformed_messages_get_their_error(raw, rcode):
-    play(f"""
-        dns send raw {raw}
-        dns expect id=5 {rcode}
-    """)
-
-
-@pytest.mark.parametrize("raw", ["00", "000581000001000000000000"])
-def test_scraps_and_replies_are_not_answered(raw):
-    play(f"""
-        dns send raw {raw}
-        dns expect nothing
-    """)
-
-
 def test_lookups_after_the_drain_are_refused_with_a_time_to_come_back():
     play(f"""
         cache1 expect nothing
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,12 +6,8 @@
 MOST_LINES = 250
 # Files that are longer still, and how long each may be: a file that shrinks takes its figure along.
 EXCEPTIONS = {
-    "rookbend/testing/cluster/scenario.py": 272,
-    "tests/test_dns_front.py": 360,
     "tests/test_leases_processes.py": 260,
     "tests/test_recovery.py": 355,
-    "tests/test_recovery_processes.py": 386,
-    "tests/test_state.py": 300,
     "benchmarks/health.py": 346,
     "benchmarks/recovery_sweep.py": 430,
 }
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -2,57 +2,12 @@
 crossed the relays; nothing waits for a time but to end a hang."""
 
 import signal
-from contextlib import asynccontextmanager
-from dataclasses import replace
 
 import pytest
 import trio
 
-from rookbend.protocol.coordinator_stream import split_address
-from rookbend.testing.cluster import disk, stage
-from rookbend.testing.cluster.dns_names import look_up, submit
 from rookbend.testing.cluster.record import now_us
-
-RECOVERY = """
-[state]
-    folder {state}
-    fleet  f1
-[recovery]
-    first-rate 300
-    full-rate  400
-[health]
-"""
-
-
-@asynccontextmanager
-async def fleet(directors=3, rate=60.0, operators=RECOVERY, **more):
-    """A fleet that serves; the rules are judged at its end whatever the test looked at."""
-    async with stage(directors=directors, caches=3, rate=rate, operators=operators, **more) as scene:
-        await scene.start()
-        await scene.admitted()
-        yield scene
-        scene.front.running.cancel()
-        scene.verdict()
-
-
-async def all_reach(scene, what="serving", names=None):
-    for name in names or scene.names:
-        await scene.nodes[name].said("recovery_stage", stage=what)
-
-
-def told(scene, name, event, **fields):
-    return scene.nodes[name].heard(event, **fields)
-
-
-def order_on(found, member):
-    return next(row["order"] for row in found["members"] if row["member"] == member)
-
-
-async def same_orders(scene, owner_name):
-    """Waits until every director holds the orders of all: what a peer can give back."""
-    owner = (await scene.ask(owner_name, "/recovery"))["digests"]["order"]
-    for name in scene.names:
-        await scene.until_told(name, "/recovery", lambda found: found["digests"]["order"] == owner)
+from tests.recovery_scenes import RECOVERY, all_reach, fleet, told
 
 
 def test_all_lose_power_amid_writes_three_times_and_return_in_other_orders():
@@ -178,75 +133,6 @@
     trio.run(main)
 
 
-def test_an_order_outlives_its_director_and_even_its_disk_and_is_refused_where_the_disk_is_full():
-    async def main():
-        async with fleet(rate=0) as scene:
-            await all_reach(scene)
-            order = {"member": "c1", "order": "drain", "by": "kim"}
-            assert (await scene.ask("n0", "/orders", "POST", order))["status"] == 200
-            await same_orders(scene, "n0")
-            for lose_disk in (False, True):
-                scene.power_off("n0")
-                await scene.nodes["n0"].ended()
-                if lose_disk:
-                    disk.copy(scene.nodes["n0"].state, scene.folder / "lost")
-                    for left in scene.nodes["n0"].state.iterdir():
-                        left.unlink()
-                await scene.power_on("n0")
-                await all_reach(scene, names=["n0"])
-                await scene.until_told("n0", "/members", lambda found: order_on(found, "c1") == "drain")
-            raised = await scene.nodes["n0"].said("boot_raised")
-            assert raised["boot"] == 3, "above the number that the peers knew"
-            scene.nodes["n0"].set_disk("full")
-            found = await scene.ask("n0", "/orders", "POST", {"member": "c2", "order": "drain", "by": "kim"})
-            assert found["status"] == 503 and "not durable: disk full" in found["fault"]
-            assert order_on(await scene.ask("n0", "/members"), "c2") == "ready"
-            assert (await scene.nodes["n0"].said("state_degraded"))["reason"] == "disk full"
-            scene.nodes["n0"].set_disk()
-            await scene.nodes["n0"].said("state_well")
-            assert (await scene.ask("n0", "/orders", "POST", {"member": "c2", "order": "drain"}))["status"] == 200
-
-    trio.run(main)
-
-
-@pytest.mark.long
-def test_last_weeks_disk_moves_nothing_back_and_its_owner_takes_a_higher_number():
-    async def main():
-        async with fleet(rate=0, directors=4) as scene:
-            await all_reach(scene)
-            node = scene.nodes["n1"]
-            await scene.ask("n1", "/orders", "POST", {"member": "c1", "order": "drain", "by": "kim"})
-            scene.power_off("n1")
-            await node.ended()
-            disk.lose(node.state)
-            disk.copy(node.state, scene.folder / "backup")
-            for word in ("ready", "maintain"):
-                scene.power_off("n1")
-                await scene.power_on("n1")
-                await all_reach(scene, names=["n1"])
-                await scene.ask("n1", "/orders", "POST", {"member": "c1", "order": word, "by": "kim"})
-            await same_orders(scene, "n1")
-            boot = told(scene, "n1", "state_open")[0]["boot"]
-            scene.power_off("n1")
-            await node.ended()
-            disk.copy(scene.folder / "backup", node.state)
-            await scene.power_on("n1")
-            assert told(scene, "n1", "state_open") or await node.said("state_open")
-            assert told(scene, "n1", "state_open")[0]["boot"] < boot
-            assert (await node.said("boot_raised"))["boot"] == boot + 1
-            await all_reach(scene, names=["n1"])
-            # Its newest order comes back from the others, not the backup's.
-            await scene.until_told("n1", "/members", lambda found: order_on(found, "c1") == "maintain")
-            for name in ("n0", "n2", "n3"):
-                await scene.until_told(
-                    name,
-                    "/fleet",
-                    lambda found: (found["directors"][1]["boot"] == boot + 1 and not found["directors"][1]["doubted"]),
-                )
-
-    trio.run(main)
-
-
 @pytest.mark.long
 def test_halves_that_do_not_hear_each_other_go_slowly_and_meet_again_over_a_bad_network():
     async def main():
@@ -314,61 +200,6 @@
     trio.run(main)
 
 
-DNS = """
-[dns]
-    listen   {dns}
-    resolver {resolver}
-"""
-
-
-def short_writes(settings):
-    """A write is in doubt for four deadlines after a start: 1.2 s."""
-    settings["lanes"][0].update(aimUs=200_000, hardLimitUs=300_000)
-    return settings
-
-
-def test_a_lookup_for_a_write_gets_the_same_name_after_the_loss_and_never_runs_again():
-    async def main():
-        async with stage(directors=1, caches=2, operators=RECOVERY + DNS) as scene:
-            scene.change = short_writes
-            await scene.start()
-            await scene.admitted()
-            await all_reach(scene)
-            server, number = split_address(scene.places["n0"]["dns"]), 1000
-
-            async def again(number):
-                return await look_up(
-                    server, f"r{number:016x}.p0.{number:016x}.g{number % 256}" ".form.route.example.org"
-                )
-
-            async def new():
-                nonlocal number
-                number += 1
-                return await submit(scene.record, "n0", server, number, 300_000)
-
-            while (before := await new())[0] != "NOERROR":  # until the first four deadlines are over
-                pass
-            served = number
-            assert before[1] == "records.example.org" and before[2]
-            scene.origin.make = replace(scene.origin.make, first_s=0.25)  # the next is under way at the loss
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(submit, scene.record, "n0", server, 7, 300_000)
-                await scene.until(lambda: f"{7:016x}" in scene.world.ran, "it runs")
-                scene.power_off("n0")
-                nursery.cancel_scope.cancel()
-            await scene.power_on("n0")
-            await all_reach(scene)
-            assert await again(served) == before, "what was given out is given out again"
-            scene.origin.make = replace(scene.origin.make, first_s=0.04)
-            while (await new())[0] != "NOERROR":  # writes are taken again, and that one still is not
-                pass
-            assert (await again(7))[0] == "SERVFAIL", "whether it ran can't be told"
-            assert [len(rids) for rids in scene.world.ran.values()] == [1] * len(scene.world.ran), "ran once each"
-            scene.verdict()
-
-    trio.run(main)
-
-
 @pytest.mark.long
 def test_a_machine_that_vanishes_amid_the_return_holds_nobody_up_and_returns():
     async def main():
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,11 +1,7 @@
 """Durable state: what was promised is there after any crash, and a folder that is not ours is refused."""
 
-import subprocess
-import sys
-
 import apsw
 import pytest
-import trio
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -15,11 +11,8 @@
 from rookbend.state.ledger import RETRY_US, Ledger
 from rookbend.state.model import KINDS, Identity, Row, StateError
 from rookbend.testing.cluster import disk as faults
-from rookbend.testing.cluster import stage
-from rookbend.testing.cluster.process import SHIM
 
 ME = Identity("n0", "fleet")
-STATE = "[state]\n folder {state}\n fleet f1\n"
 
 
 class LedgerMachine(RuleBasedStateMachine):
@@ -229,82 +222,5 @@
         Disk(tmp_path / "file" / "state", ME)
 
 
-# Under a disk that forgets what was not synced, in a process that is killed
-
-WRITES = """
-import sys
-from pathlib import Path
-import faultydisk
-from rookbend.state.disk import Disk
-from rookbend.state.ledger import Ledger
-from rookbend.state.model import Identity
-disk = Disk(Path(sys.argv[1]), Identity("n0", "fleet"))
-ledger = Ledger(1 << 20, disk.rows)
-if sys.argv[2] == "unsynced":
-    disk._db.execute("PRAGMA synchronous=OFF")
-for i in range(10**9):
-    ledger.put(i, "order", f"k{i}", b"x" * 400)
-    batch = ledger.take(i)
-    assert disk.write(batch) == ""
-    ledger.ended(i, batch.number)
-    print(f"k{i}", flush=True)
-"""
-
-
-def killed_after(tmp_path, count, mode):
-    """The keys whose durability the process had told of when it was killed."""
-    (tmp_path / "stage").mkdir(exist_ok=True)
-    folder = tmp_path / "state"
-    env = {"PYTHONPATH": f"{SHIM}:{':'.join(sys.path)}", "ROOKBEND_STAGE": str(tmp_path / "stage")}
-    with subprocess.Popen(
-        [sys.executable, "-c", WRITES, folder, mode], env=env, text=True, stdout=subprocess.PIPE
-    ) as child:
-        told = [child.stdout.readline().strip() for _ in range(count)]
-        child.kill()
-        told += child.stdout.read().split()
-    return folder, told
-
-
-@pytest.mark.parametrize("loss", [faults.lose, lambda f: faults.tear(f, 0.3), lambda f: faults.tear(f, 1.0)])
-def test_what_was_told_as_safe_outlives_a_power_loss_and_a_torn_write(tmp_path, loss):
-    folder, told = killed_after(tmp_path, 60, "synced")
-    loss(folder)
-    rows, disk = read(folder)
-    assert not disk.moved_aside and not set(told) - set(rows)
-
-
-def test_the_forgetful_disk_does_lose_what_is_not_synced(tmp_path):
-    folder, told = killed_after(tmp_path, 60, "unsynced")
-    assert faults.lose(folder) > 0
-    rows, _ = read(folder)
-    assert set(told) - set(rows), "a check that could not fail"
-
-
-# In directors of their own
-
-
-def test_a_director_refuses_a_folder_that_is_not_its_own_in_one_line_and_exit_2():
-    async def main():
-        async with stage(directors=2, caches=1, operators=STATE) as scene:
-            await scene.start()
-            await scene.admitted()
-            assert [scene.nodes[n].heard("state_open")[0]["boot"] for n in scene.names] == [1, 1]
-            scene.power_off("n0", "n1")
-            for node in scene.nodes.values():
-                await node.ended()
-            faults.copy(scene.nodes["n0"].state, scene.nodes["n1"].state)
-            await scene.start()
-            assert await scene.nodes["n1"].ended() == 2
-            raw = scene.nodes["n1"].heard("raw")
-            assert len(raw) == 1 and "is of director 'n0', not 'n1'" in raw[0]["text"]
-            assert (await scene.nodes["n0"].said("state_open"))["boot"] == 2
-            faults.spoil(scene.nodes["n1"].state)
-            await scene.start("n1")
-            assert "damaged-1" in (await scene.nodes["n1"].said("state_damaged"))["moved"]
-            await scene.admitted()
-
-    trio.run(main)
-
-
 def test_apsw_is_there():
     assert apsw.sqlite_lib_version() and Row(b"", 1).size == 64
