An order's texts have limits, refused at the door with the field and the limit

What callers saw: POST /orders for the fleet with a member's name of 400 bytes ended the director that was asked, with code 1; a long `by` was cut off without a word, NUL and line ends in it were taken. Cause: an order travels in datagrams of 256 bytes and nothing limited it; LeaseProtocolError left the machine's feed. Change: order_limits.py (member 72, by 40 bytes, printable), checked in AdminApi; the codec decodes no message beyond them.

--- a/rookbend/net/fleet_orders.py
+++ b/rookbend/net/fleet_orders.py
@@ -13,8 +13,6 @@
 from rookbend.leases.machine import LeaseMachine
 from rookbend.leases.order_store import PIN_PREFIX, SCOPE_PREFIX
 
-MAX_OPERATOR_LENGTH = 40
-
 
 class PendingOutcome:
     """The outcome of an order, once `completed`."""
@@ -44,7 +42,7 @@
         order_id = next(self._ids)
         outcome = PendingOutcome()
         self._pending[order_id] = outcome
-        self._feed(OrderRequested(order_id, target, order, operator[:MAX_OPERATOR_LENGTH]))
+        self._feed(OrderRequested(order_id, target, order, operator))
         try:
             await outcome.completed.wait()  # the coordinator completes each order in its time
         finally:
--- a/rookbend/protocol/admin_api.py
+++ b/rookbend/protocol/admin_api.py
@@ -1,7 +1,7 @@
 """The admin API, over HTTP on the loopback: tables of what runs, operators' commands, metrics.
 
 GET  /members           {"members": [...]}: one object a member (see docs/HEALTH.md)
-POST /orders            {"member": "s-1", "order": "drain", "by": "name"}
+POST /orders            {"member": "s-1", "order": "drain", "by": "name"}; for the limits see `order_limits`
 GET  /background        {"jobs": n, ...}
 GET  /fleet             the directors as this one sees them, where recovery is on
 GET  /recovery          the stage of the recovery and what it waits for
@@ -23,6 +23,7 @@
 
 from rookbend.health.model import Order
 from rookbend.protocol.http_server import HttpRequest, HttpResponse
+from rookbend.protocol.order_limits import MAX_OPERATOR_BYTES, MAX_TARGET_BYTES, check_text
 
 JSON = "application/json"
 PROMETHEUS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
@@ -136,6 +137,8 @@
             raise RequestRejectedError(HTTPStatus.METHOD_NOT_ALLOWED, "only POST")
         body = _decode_body(request, MemberOrder)
         try:
+            check_text("member", body.member, MAX_TARGET_BYTES)
+            check_text("by", body.operator, MAX_OPERATOR_BYTES)
             order = Order(body.order)
         except ValueError as error:
             raise RequestRejectedError(HTTPStatus.BAD_REQUEST, str(error)) from error
--- a/rookbend/protocol/leases.py
+++ b/rookbend/protocol/leases.py
@@ -10,12 +10,23 @@
 
 import msgspec
 
-from rookbend.protocol.lease_messages import LeaseRequest, LeaseVote, Message, ShardResults
+from rookbend.protocol.lease_messages import (
+    AppendEntry,
+    EntriesFetched,
+    Entry,
+    LeaseRequest,
+    LeaseVote,
+    Message,
+    ShardResults,
+    SubmitOrder,
+)
+from rookbend.protocol.order_limits import MAX_ORDER_TEXT_BYTES
 
 MAGIC = b"RO\x01"
 MAGIC_ANY_VERSION = MAGIC[:2]
 MAX_DATAGRAM_BYTES = 256
 INTEGER_LIMIT = 1 << 62
+ENTRY_NUMBER_LIMIT = 1 << 48  # far from the other: numbers after it are still in range
 
 
 class LeaseProtocolError(Exception):
@@ -59,7 +70,10 @@
 
 
 def decode(data: bytes) -> Message:
-    """Raises LeaseProtocolError: not this protocol, another version, malformed, or an integer out of range."""
+    """Raises LeaseProtocolError: not this protocol, another version, malformed, or a field out of range.
+
+    A message built from what is decoded here fits into a datagram.
+    """
     if len(data) > MAX_DATAGRAM_BYTES or not data.startswith(MAGIC):
         raise LeaseProtocolError("another version" if is_lease_datagram(data) else "not ours")
     try:
@@ -68,9 +82,29 @@
         raise LeaseProtocolError(str(error)) from None
     if not _integers_in_range(msgspec.structs.astuple(message)):
         raise LeaseProtocolError("an integer out of range")
+    if not _order_in_range(message):
+        raise LeaseProtocolError("an order's texts or number out of range")
     return message
 
 
+def _order_in_range(message: Message) -> bool:
+    if isinstance(message, SubmitOrder):
+        return _texts_fit(message)
+    if isinstance(message, AppendEntry):
+        entries: tuple[Entry, ...] = () if message.entry is None else (message.entry,)
+    elif isinstance(message, EntriesFetched):
+        entries = message.entries
+    else:
+        return True
+    return message.committed < ENTRY_NUMBER_LIMIT and all(
+        entry.number < ENTRY_NUMBER_LIMIT and _texts_fit(entry) for entry in entries
+    )
+
+
+def _texts_fit(order: SubmitOrder | Entry) -> bool:
+    return len((order.target + order.order + order.operator).encode()) <= MAX_ORDER_TEXT_BYTES
+
+
 def _integers_in_range(value: object) -> bool:
     if isinstance(value, tuple):
         return all(map(_integers_in_range, value))
