No field of a peer's lease datagram ends a director or keeps it busy for ever

What callers saw: nothing yet; in simulated time one lying peer ended others. Cause: fields used as they came: tokens above all believable ones, a stale token of a scope never seen (KeyError), numbers of directors that do not exist, entry numbers far ahead (a gap filled one by one), an empty answer that commits a high number. Change: each field is checked where it is first used.

--- a/rookbend/leases/fenced_requests.py
+++ b/rookbend/leases/fenced_requests.py
@@ -42,7 +42,7 @@
 
     def _reject(self, now_us: int, sender: int, scope: int, token: int) -> None:
         self.rejected += 1
-        highest = self._guard.highest[scope]
+        highest = self.highest_token(scope)
         self._actions.log(
             "stale_fencing_token_rejected", "warning", scope=scope_name(scope), by=sender, token=token, highest=highest
         )
--- a/rookbend/leases/messenger.py
+++ b/rookbend/leases/messenger.py
@@ -46,10 +46,10 @@
         self.send_datagram(now_us, peer, codec.encode(message))
 
     def send_datagram(self, now_us: int, peer: int, data: bytes) -> None:
-        """Sends an encoded message."""
+        """Sends an encoded message. A peer may have named a director that does not exist: nothing is sent there."""
         if peer == self._director:
             self._deliver(now_us, peer, codec.decode(data))
-        else:
+        elif 0 <= peer < self._voters.director_count:
             self._actions.send(now_us, peer, data)
 
     def send_to_voters(self, now_us: int, message: Message) -> None:
--- a/rookbend/leases/order_follower.py
+++ b/rookbend/leases/order_follower.py
@@ -144,10 +144,10 @@
 
     def entries_received(self, message: EntriesFetched) -> None:
         """Committed entries, in order."""
-        if message.after != self._log.committed:
+        if message.after != self._log.committed or not message.entries:
             return
-        up_to = message.entries[-1].number if message.entries else message.last
+        up_to = message.entries[-1].number
         self._log.adopt_committed(message.entries, up_to)
         self._store.apply_committed()
-        if message.entries and up_to < message.last:
+        if up_to < message.last:
             self._fetched_us = 0  # the next piece at once
--- a/rookbend/leases/order_writer.py
+++ b/rookbend/leases/order_writer.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from rookbend.leases.lease import Quorums, majority_granted_since
@@ -34,6 +34,20 @@
     return majority_granted_since(quorums, dict.fromkeys(voters, 1)) > 0
 
 
+def _last_plausible(committed: int, numbers: Iterable[int]) -> int:
+    """The highest number behind which no gap is wider than a writer leaves.
+
+    Of what is committed a majority holds every number, so there is no gap in it. Numbers behind a wider one are a
+    faulty peer's, and filling the gap would take for ever.
+    """
+    last = committed
+    for number in sorted(numbers):
+        if number - last > MAX_UNCOMMITTED_ENTRIES:
+            break
+        last = number
+    return last
+
+
 class OrderWriter:
     """Writes under one token: reads a majority first, then numbers orders as they come."""
 
@@ -84,7 +98,7 @@
             for number, entry in self._entries[voter].items():
                 if number > committed and supersedes(newest, entry):
                     newest[number] = entry
-        last = max(newest, default=committed)
+        last = _last_plausible(committed, newest)
         for number in range(committed + 1, last + 1):
             entry = newest.get(number, Entry(number, 0, "", "", "", NO_ORIGIN))
             self._write(number, PendingOrder(entry.target, entry.order, entry.operator, entry.origin))
--- a/rookbend/leases/voting.py
+++ b/rookbend/leases/voting.py
@@ -82,7 +82,7 @@
         holder = Holder(sender, message.incarnation)
         rows: list[VoteRow] = []
         for row in message.rows:
-            if row.scope in self._leases.leases:
+            if row.scope in self._leases.leases and row.token <= highest_believable_token(now_us):
                 vote_row = self._vote(now_us, holder, row)
                 if vote_row is not None:
                     rows.append(vote_row)
--- /dev/null
+++ b/rookbend/testing/lying_peer.py
@@ -0,0 +1,56 @@
+"""Changes fields of datagrams, as a peer does that lies or runs another version: msgpack stays msgpack."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+MAGIC_BYTES = 3
+MAX_DATAGRAM_BYTES = 256
+NUMBERS = (
+    *(0, 1, -1, -2, 2, 3, 5, 7, 127, 255),
+    *(1 << 16, (1 << 31) - 1, 1 << 32, 1 << 48, 1 << 61, (1 << 62) - 1, 1 << 62),
+)
+TEXTS = "", "x", "x" * 40, "x" * 90, "x" * 150, "@orders", "@checks/3", "@nope/9", "drain", "pin3", "pin99", "unpin"
+OTHERS = None, True, False, b"x", 1.5
+NEAR = -1, 1, 2, 1000
+MOST_CHANGES = 3
+
+Path = tuple[int, ...]
+
+
+def _paths(value: object, path: Path = ()) -> Iterator[Path]:
+    yield path
+    if isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _paths(item, (*path, index))
+
+
+def _replacement(generator: random.Random, old: Any) -> Any:
+    choice = generator.random()
+    if choice < 0.15:
+        return generator.choice((*NUMBERS, *TEXTS, *OTHERS))
+    if isinstance(old, bool) or old is None:
+        return generator.choice(OTHERS)
+    if isinstance(old, int):
+        return old + generator.choice(NEAR) if choice < 0.4 else generator.choice(NUMBERS)
+    if isinstance(old, str):
+        return generator.choice(TEXTS)
+    if isinstance(old, list):
+        return old * generator.choice((0, 2, 3))
+    return generator.choice(OTHERS)
+
+
+def change(generator: random.Random, data: bytes) -> bytes:
+    """The datagram with one to three values replaced: borders, near ones, other types, lists of other lengths."""
+    message = msgspec.msgpack.decode(data[MAGIC_BYTES:])
+    for _ in range(generator.randint(1, MOST_CHANGES)):
+        *parents, last = generator.choice([path for path in _paths(message) if path])
+        holder = message
+        for index in parents:
+            holder = holder[index]
+        holder[last] = _replacement(generator, holder[last])
+    return (data[:MAGIC_BYTES] + msgspec.msgpack.encode(message))[:MAX_DATAGRAM_BYTES]
