A failed scene's record holds the error itself

Cause: a test that failed once left its report, and not what failed. Change: error.txt, with the traceback, beside report.txt. Result: test_failure_record passes.

--- a/rookbend/testing/cluster/failure_record.py
+++ b/rookbend/testing/cluster/failure_record.py
@@ -1,8 +1,8 @@
 """What a failed scene leaves behind, so that a failure that does not come again can still be traced.
 
 A folder a failure, in what the environment variable `ROOKBEND_FAILURES` names or else in `rookbend-failures` of the
-system's temporary folder: `report.txt` (the seed, the faults, starts and ends, the last log lines), and of each
-director its log and its configuration.
+system's temporary folder: `error.txt`, `report.txt` (the seed, the faults, starts and ends, the last log lines), and
+of each director its log and its configuration.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import shutil
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from typing import Protocol
 
@@ -35,10 +36,11 @@
     return Path(named) if named else Path(tempfile.gettempdir()) / DEFAULT_FOLDER
 
 
-def keep(scene: Reporter) -> Path:
-    """Copies a scene's report, logs and configurations; returns the folder. Raises OSError."""
+def keep(error: Exception, scene: Reporter) -> Path:
+    """Copies a scene's error, report, logs and configurations; returns the folder. Raises OSError."""
     kept = failures_folder() / f"{time.time_ns()}-{os.getpid()}"
     kept.mkdir(parents=True)
+    (kept / "error.txt").write_text("".join(traceback.format_exception(error)))
     (kept / "report.txt").write_text(scene.report())
     for name in scene.names:
         for file in KEPT_FILES:
@@ -51,7 +53,7 @@
 def annotate(error: Exception, scene: Reporter) -> None:
     """Keeps the scene and notes in the error where it is, and what its report says."""
     try:
-        place = f"record, logs and settings: {keep(scene)}"
+        place = f"record, logs and settings: {keep(error, scene)}"
     except OSError as fault:
         place = f"record, logs and settings not kept: {fault}"
     error.add_note(f"{place}\n{scene.report()}")
--- a/tests/test_failure_record.py
+++ b/tests/test_failure_record.py
@@ -23,5 +23,6 @@
     (note,) = raised.value.__notes__
     report = (kept / "report.txt").read_text()
     assert str(kept) in note and report in note
+    assert "ValueError: as planted" in (kept / "error.txt").read_text()
     assert "seed 11" in report and "start     n0 life 1" in report
     assert '"ready"' in (kept / "n0.log").read_text() and "[admin]" in (kept / "n0.rookbend.conf").read_text()
