An exception in the task of one caller, check, lookup or datagram ends that task alone

What callers saw: a fault of one connection, lookup or order ended the director, with the requests of all its clients. Cause: the tasks of callers, checks and lookups run in the main nursery with nothing between. Change: FaultContainment logs the fault with its traceback (component_fault), counts it (component_faults) and lets the director serve on; cancellation and exit pass; the platform's port is not contained. Servers take the component's context in place of five of its parts. Every test with a director fails on a contained fault that it did not plant.

--- a/rookbend/assembly.py
+++ b/rookbend/assembly.py
@@ -13,8 +13,7 @@
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
 from rookbend.net.buffered_socket import WriteScheduler
-from rookbend.net.component import Component
-from rookbend.net.listeners import Listeners
+from rookbend.net.component import Component, ComponentContext
 from rookbend.net.peers import PeerSocket
 from rookbend.net.pool import Pool
 from rookbend.net.watch import Watch
@@ -63,23 +62,25 @@
     return Pool(engine, counters, nursery, write_scheduler, limits.max_streams, limits.idle_close_us, max_connections)
 
 
-def open_sockets(config: Config, engine: Engine, listeners: Listeners, components: Sequence[Component]) -> OpenSockets:
+def open_sockets(context: ComponentContext, components: Sequence[Component]) -> OpenSockets:
     """Binds all addresses, those of the components as well. Raises ListenError."""
     try:
-        listener = listeners.tcp(split_address(config.listen))
-        peers = _open_peers(config, engine, listeners) if config.peer_listen else None
+        listener = context.listeners.tcp(split_address(context.config.listen))
+        peers = _open_peers(context) if context.config.peer_listen else None
         for component in components:
-            component.open(listeners)
+            component.open(context.listeners)
     except OSError as error:
         raise ListenError(f"cannot listen: {error}") from None
-    listeners.close_unused()
+    context.listeners.close_unused()
     return OpenSockets(listener, peers)
 
 
-def _open_peers(config: Config, engine: Engine, listeners: Listeners) -> PeerSocket:
+def _open_peers(context: ComponentContext) -> PeerSocket:
+    config = context.config
     return PeerSocket(
-        engine,
-        listeners.udp(split_address(config.peer_listen)),
+        context.engine,
+        context.containment,
+        context.listeners.udp(split_address(config.peer_listen)),
         [split_address(peer) for peer in config.peers],
         split_address(config.peers_all) if config.peers_all else None,
     )
--- a/rookbend/components/admin.py
+++ b/rookbend/components/admin.py
@@ -32,9 +32,7 @@
         recovery.command if recovery is not None else None,
         ownership,
     )
-    server = BoundedServer(
-        settings.listen, context.clock, context.write_scheduler, lambda channel: serve_http(channel, api.answer)
-    )
+    server = BoundedServer(context, "admin", settings.listen, lambda channel: serve_http(channel, api.answer))
     context.built["admin"] = server
     return server
 
--- a/rookbend/components/dns.py
+++ b/rookbend/components/dns.py
@@ -18,7 +18,7 @@
     settings = context.operators.dns
     assert settings is not None
     seed = int(context.config.seed, 16)
-    resolver = ResolverClient(settings.resolver, context.clock, seed)
+    resolver = ResolverClient(context, settings.resolver, seed)
     front = DnsFront(
         context.engine,
         resolver,
@@ -28,7 +28,7 @@
         seed,
         names=_issued_names(context),
     )
-    server = DnsServer(front, resolver, context.clock, settings.listen, context.write_scheduler)
+    server = DnsServer(context, front, resolver, settings.listen)
     context.built["dns"] = server
     return server
 
--- a/rookbend/components/health.py
+++ b/rookbend/components/health.py
@@ -36,7 +36,7 @@
             int(context.config.seed, 16),
         )
         self.runner = JobRunner(scheduler, self.clock)
-        self.driver = CheckDriver(self.service, self.runner, self.clock, settings.checks)
+        self.driver = CheckDriver(context, self.service, self.runner, settings.checks)
         self._due_earlier = trio.Event()
         self.service.on_due = lambda due_us: self._due_earlier.set()
         context.watch.membership_changed = self.service.membership_changed
--- a/rookbend/components/own_status.py
+++ b/rookbend/components/own_status.py
@@ -21,13 +21,11 @@
     sampler = CapacitySampler(spare_capacity, context.sample, context.clock)
     servers: list[Component] = []
     if settings.agent_server is not None:
-        servers.append(
-            agent_server(settings.agent_server.listen, context.clock, context.write_scheduler, current_status)
-        )
+        servers.append(agent_server(context, settings.agent_server.listen, current_status))
     if settings.http_server is not None:
-        servers.append(http_server(settings.http_server.listen, context.clock, context.write_scheduler, current_status))
+        servers.append(http_server(context, settings.http_server.listen, current_status))
     if settings.grpc_server is not None:
-        grpc_server = GrpcServer(settings.grpc_server.listen, context.clock, context.write_scheduler, current_status)
+        grpc_server = GrpcServer(context, settings.grpc_server.listen, current_status)
         sampler.on_change.append(grpc_server.changed)
         servers.append(grpc_server)
     context.built["balancer"] = servers
--- a/rookbend/core/counters.py
+++ b/rookbend/core/counters.py
@@ -48,6 +48,7 @@
     written: int = 0  # attempts written whole to members
     reloads_ok: int = 0  # SIGHUP: configuration applied
     reloads_failed: int = 0  # SIGHUP: configuration rejected
+    component_faults: int = 0  # unexpected exceptions that ended the task of one caller, check, lookup or datagram
     # Bounded: one entry for each name that the settings have had, and outcome.
     by_class: Counter[tuple[str, FinalOutcome]] = field(default_factory=Counter)
 
--- a/rookbend/net/bounded_server.py
+++ b/rookbend/net/bounded_server.py
@@ -7,10 +7,9 @@
 
 import trio
 
-from rookbend.core.clock import Clock
 from rookbend.net.acceptor import accept
-from rookbend.net.buffered_socket import BufferedSocket, WriteScheduler, prepare
-from rookbend.net.component import Component
+from rookbend.net.buffered_socket import BufferedSocket, prepare
+from rookbend.net.component import Component, ComponentContext
 from rookbend.net.listeners import Listeners
 
 MAX_CLIENTS = 32
@@ -24,19 +23,21 @@
 
     def __init__(
         self,
+        context: ComponentContext,
+        name: str,
         address: tuple[str, int],
-        clock: Clock,
-        write_scheduler: WriteScheduler,
         serve_client: Callable[[BufferedSocket], Awaitable[None]],
         long_lived: bool = False,
     ):
-        """`serve_client` serves one client to its end, within `CLIENT_TIMEOUT_US` unless clients are
-        `long_lived`; the connection is closed after it."""
-        self.clock = clock
+        """`name` is for the log. `serve_client` serves one client to its end, within `CLIENT_TIMEOUT_US` unless
+        clients are `long_lived`; the connection is closed after it."""
+        self.clock = context.clock
         self.clients = 0
         self.address: tuple[str, int] | None = None  # once open
         self._configured_address = address
-        self._write_scheduler = write_scheduler
+        self._name = name
+        self._containment = context.containment
+        self._write_scheduler = context.write_scheduler
         self._serve_client = serve_client
         self._long_lived = long_lived
 
@@ -62,7 +63,7 @@
 
     async def _run_client(self, channel: BufferedSocket) -> None:
         try:
-            with trio.CancelScope() as scope:
+            with self._containment.contain(self._name), trio.CancelScope() as scope:
                 if not self._long_lived:
                     scope.deadline = self.clock.monotonic_at(self.clock.now() + CLIENT_TIMEOUT_US)
                 await self._serve_client(channel)
--- a/rookbend/net/checks.py
+++ b/rookbend/net/checks.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 
 from rookbend.core.check_result import AgentReport
-from rookbend.core.clock import Clock
 from rookbend.health.check_schedule import CheckAssignment, cadence_of, policies_of
 from rookbend.health.events import AgentReported, CheckCompleted
 from rookbend.health.service import HealthService
 from rookbend.net.check_exchange import CheckReport, CheckRun, WatchUnsupportedError
+from rookbend.net.component import ComponentContext
 from rookbend.net.scheduling import JobRunner
 from rookbend.settings import Check
 
@@ -38,13 +38,14 @@
     each result. Both are replaced where checks are shared among directors.
     """
 
-    def __init__(self, health: HealthService, runner: JobRunner, clock: Clock, checks: tuple[Check, ...]):
+    def __init__(self, context: ComponentContext, health: HealthService, runner: JobRunner, checks: tuple[Check, ...]):
         self.assign: Callable[[int, int], CheckAssignment] = _always_ours
         self.on_result: Callable[[int], None] = lambda server: None
         self._health = health
         self._runner = runner
         self._scheduler = runner.scheduler
-        self._clock = clock
+        self._clock = context.clock
+        self._containment = context.containment
         self._checks = {check.name: check for check in checks}
         self._without_watch: set[CheckKey] = set()  # whose servers have no Watch
         runner.handlers[CHECK] = self._run
@@ -111,11 +112,13 @@
         host, member_port = member_address
         address = (host, check.port or member_port)
         watch = kind == WATCH and key not in self._without_watch
-        try:
-            check_run = CheckRun(check, address, self._clock, watch, report, interval_us)
-            report(await check_run.run(started_us))
-        except WatchUnsupportedError:
-            self._without_watch.add(key)  # its Check is called from now on
+        # A run that fails by a fault of this program has no result, and the next one is due as ever.
+        with self._containment.contain("checks", check=name, address=host):
+            try:
+                check_run = CheckRun(check, address, self._clock, watch, report, interval_us)
+                report(await check_run.run(started_us))
+            except WatchUnsupportedError:
+                self._without_watch.add(key)  # its Check is called from now on
         if self._checks.get(name) is check:
             next_interval_us = max(interval_us() or check.interval_us, assignment.min_interval_us)
             self._schedule(key, self._next_run_us(key, number, started_us, next_interval_us))
--- a/rookbend/net/component.py
+++ b/rookbend/net/component.py
@@ -11,6 +11,8 @@
 
 import trio
 
+from rookbend.net.fault_containment import FaultContainment
+
 if TYPE_CHECKING:
     from rookbend.config import Config
     from rookbend.core.clock import Clock
@@ -46,6 +48,10 @@
     gauges: list[Callable[[], dict[str, float]]] = field(default_factory=list)
     # What components offer to those that are built after them, by name.
     built: dict[str, Any] = field(default_factory=dict)
+    containment: FaultContainment = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.containment = FaultContainment(self.counters, self.log)
 
 
 class Component:
--- a/rookbend/net/dns_resolver.py
+++ b/rookbend/net/dns_resolver.py
@@ -11,7 +11,7 @@
 import dns.message
 import trio
 
-from rookbend.core.clock import Clock
+from rookbend.net.component import ComponentContext
 from rookbend.net.connector import open_socket
 from rookbend.protocol import dns_tcp
 from rookbend.protocol.dns import MAX_MESSAGE_BYTES
@@ -27,9 +27,10 @@
     Nothing is cached: a name may point elsewhere a moment later, and the membership decides anyway.
     """
 
-    def __init__(self, address: tuple[str, int], clock: Clock, seed: int):
+    def __init__(self, context: ComponentContext, address: tuple[str, int], seed: int):
         self._address = address
-        self._clock = clock
+        self._clock = context.clock
+        self._containment = context.containment
         self._random = random.Random(seed)
         self._nursery: trio.Nursery | None = None
 
@@ -47,12 +48,16 @@
     ) -> None:
         addresses = None
         with trio.move_on_at(self._clock.monotonic_at(deadline_us)):
-            with contextlib.suppress(OSError, ResolverError, dns.exception.DNSException):
+            with (
+                self._containment.contain("resolver", name=name),
+                contextlib.suppress(OSError, ResolverError, dns.exception.DNSException),
+            ):
                 query = address_query(name, record_type, self._random.getrandbits(QUERY_ID_BITS))
                 addresses = await self._query_udp(query)
                 if addresses is None:
                     addresses = await self._query_tcp(query)
-        done(addresses)
+        with self._containment.contain("resolver", name=name):
+            done(addresses)
 
     async def _query_udp(self, query: dns.message.Message) -> list[str] | None:
         family = socket.AF_INET6 if ":" in self._address[0] else socket.AF_INET
--- a/rookbend/net/dns_server.py
+++ b/rookbend/net/dns_server.py
@@ -13,8 +13,8 @@
 from rookbend.fronts.dns import DnsFront
 from rookbend.fronts.dns_lookups import Respond
 from rookbend.net.acceptor import accept
-from rookbend.net.buffered_socket import BufferedSocket, WriteScheduler, prepare
-from rookbend.net.component import Component
+from rookbend.net.buffered_socket import BufferedSocket, prepare
+from rookbend.net.component import Component, ComponentContext
 from rookbend.net.dns_resolver import ResolverClient
 from rookbend.net.listeners import Listeners
 from rookbend.protocol import dns_tcp
@@ -47,18 +47,18 @@
 
     def __init__(
         self,
+        context: ComponentContext,
         front: DnsFront,
         resolver: ResolverClient,
-        clock: Clock,
         address: tuple[str, int],
-        write_scheduler: WriteScheduler,
     ):
         self.front = front
         self.clients = 0
         self._resolver = resolver
-        self._clock = clock
+        self._clock = context.clock
+        self._containment = context.containment
         self._configured_address = address
-        self._write_scheduler = write_scheduler
+        self._write_scheduler = context.write_scheduler
 
     def open(self, listeners: Listeners) -> None:
         """Binds both sockets; `address` is then the one bound to."""
@@ -83,7 +83,8 @@
                 wire, source = self.udp.recvfrom(MAX_MESSAGE_BYTES)
             except OSError:
                 continue  # an earlier reply was refused by its client's machine
-            self.front.query(wire, ("udp", *source), self._udp_responder(wire, source))
+            with self._containment.contain("dns", peer=source[0]):
+                self.front.query(wire, ("udp", *source), self._udp_responder(wire, source))
 
     def _udp_responder(self, wire: bytes, source: Any) -> Respond:
         def respond(reply: dns.message.Message) -> None:
@@ -108,9 +109,8 @@
 
     async def _serve_client(self, channel: BufferedSocket) -> None:
         try:
-            await _TcpClient(channel, self.front, self._clock).run()
-        except OSError:
-            pass  # it left before its address could be read
+            with self._containment.contain("dns"), contextlib.suppress(OSError):  # it may have left already
+                await _TcpClient(channel, self.front, self._clock).run()
         finally:
             self.clients -= 1
             channel.send()
--- /dev/null
+++ b/rookbend/net/fault_containment.py
@@ -0,0 +1,36 @@
+"""Keeps an unexpected exception in the task of one caller, check, lookup or datagram from ending the director.
+
+The task ends, the fault is logged with its traceback and counted, and the director serves on. Cancellation and exit
+pass. The platform's own port is not contained: an exception there ends the director, which its clients notice at once.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rookbend.core.counters import Counters
+    from rookbend.logs import Log
+
+EVENT = "component_fault"
+
+
+class FaultContainment:
+    """`counters.component_faults` counts what was contained."""
+
+    def __init__(self, counters: Counters, log: Log):
+        self._counters = counters
+        self._log = log
+
+    @contextmanager
+    def contain(self, component: str, **where: object) -> Iterator[None]:
+        """Contains an exception of the block; `where` goes into the log line: the peer, the member, the check."""
+        try:
+            yield
+        except Exception as fault:
+            self._counters.component_faults += 1
+            lines = "".join(traceback.format_exception(fault))
+            self._log(EVENT, "error", component=component, fault=repr(fault), traceback=lines, **where)
--- a/rookbend/net/operations.py
+++ b/rookbend/net/operations.py
@@ -81,7 +81,7 @@
     def open(self, listeners: Listeners) -> None:
         """Takes the listening socket of the endpoint."""
         listener = listeners.tcp(split_address(self.context.config.operator))
-        self.endpoint = OperatorEndpoint(listener, self.api, self.context.clock, self.context.write_scheduler)
+        self.endpoint = OperatorEndpoint(self.context, listener, self.api)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Begins to answer, and to wait for a next process."""
--- a/rookbend/net/operator_endpoint.py
+++ b/rookbend/net/operator_endpoint.py
@@ -13,10 +13,9 @@
 
 import trio
 
-from rookbend.core.clock import Clock
 from rookbend.net.acceptor import accept
-from rookbend.net.buffered_socket import BufferedSocket, WriteScheduler, prepare
-from rookbend.net.component import Component
+from rookbend.net.buffered_socket import BufferedSocket, prepare
+from rookbend.net.component import Component, ComponentContext
 from rookbend.protocol.http_server import HttpServerConnection
 from rookbend.protocol.operator_api import OperatorApi
 
@@ -30,11 +29,12 @@
 
     descriptors = MAX_CALLERS + 2
 
-    def __init__(self, listener: socket.socket, api: OperatorApi, clock: Clock, write_scheduler: WriteScheduler):
+    def __init__(self, context: ComponentContext, listener: socket.socket, api: OperatorApi):
         self.listener = listener
         self.api = api
-        self.clock = clock
-        self.write_scheduler = write_scheduler
+        self.clock = context.clock
+        self.write_scheduler = context.write_scheduler
+        self._containment = context.containment
         self.address = listener.getsockname()[:2]
         self.callers: dict[BufferedSocket, trio.CancelScope] = {}
         self.answered = 0
@@ -59,7 +59,7 @@
 
     async def _serve_caller(self, channel: BufferedSocket, scope: trio.CancelScope) -> None:
         try:
-            with scope:
+            with self._containment.contain("operator"), scope:
                 await self._answer(channel, scope)
         finally:
             self.callers.pop(channel, None)
--- a/rookbend/net/peers.py
+++ b/rookbend/net/peers.py
@@ -9,6 +9,7 @@
 import trio
 
 from rookbend.core.engine import Engine
+from rookbend.net.fault_containment import FaultContainment
 
 MAX_DATAGRAM_BYTES = 256
 
@@ -19,12 +20,14 @@
     def __init__(
         self,
         engine: Engine,
+        containment: FaultContainment,
         sock: socket.socket,
         peers: Sequence[tuple[str, int]],
         broadcast: tuple[str, int] | None,
     ):
         """`peers` are the directors' addresses by number; `broadcast` reaches all, None where nothing does."""
         self._engine = engine
+        self._containment = containment
         self._sock = sock
         self._peers = peers
         self._broadcast = broadcast
@@ -64,4 +67,5 @@
                 continue  # an earlier datagram of ours was refused
             sender = self._numbers.get(address[:2])
             if sender is not None and len(data) <= MAX_DATAGRAM_BYTES:
-                self._engine.peer_message(sender, data)
+                with self._containment.contain("peers", peer=sender):
+                    self._engine.peer_message(sender, data)
--- a/rookbend/net/status_servers.py
+++ b/rookbend/net/status_servers.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from rookbend.core.clock import Clock
 from rookbend.health.own_status import OwnStatus
 from rookbend.net.bounded_server import CLIENT_TIMEOUT_US, BoundedServer
-from rookbend.net.buffered_socket import BufferedSocket, WriteScheduler
+from rookbend.net.buffered_socket import BufferedSocket
+from rookbend.net.component import ComponentContext
 from rookbend.net.http_server import serve_http
 from rookbend.protocol import http_health
 from rookbend.protocol.agent_check import encode_line
@@ -22,21 +22,17 @@
 CurrentStatus = Callable[[], OwnStatus]
 
 
-def agent_server(
-    address: tuple[str, int], clock: Clock, write_scheduler: WriteScheduler, current_status: CurrentStatus
-) -> BoundedServer:
+def agent_server(context: ComponentContext, address: tuple[str, int], current_status: CurrentStatus) -> BoundedServer:
     """A server that sends its line to each client and closes."""
 
     async def serve_client(channel: BufferedSocket) -> None:
         status = current_status()
         channel.write(encode_line(status.admin, status.up, status.weight, status.max_connections, status.reason))
 
-    return BoundedServer(address, clock, write_scheduler, serve_client)
+    return BoundedServer(context, "agent-server", address, serve_client)
 
 
-def http_server(
-    address: tuple[str, int], clock: Clock, write_scheduler: WriteScheduler, current_status: CurrentStatus
-) -> BoundedServer:
+def http_server(context: ComponentContext, address: tuple[str, int], current_status: CurrentStatus) -> BoundedServer:
     """A server that answers health requests over HTTP."""
 
     def handle(request: HttpRequest) -> HttpResponse:
@@ -46,20 +42,14 @@
     async def serve_client(channel: BufferedSocket) -> None:
         await serve_http(channel, handle)
 
-    return BoundedServer(address, clock, write_scheduler, serve_client)
+    return BoundedServer(context, "http-server", address, serve_client)
 
 
 class GrpcServer(BoundedServer):
     """A server of gRPC's Check and Watch; watchers stay and are notified of each change at once."""
 
-    def __init__(
-        self,
-        address: tuple[str, int],
-        clock: Clock,
-        write_scheduler: WriteScheduler,
-        current_status: CurrentStatus,
-    ):
-        super().__init__(address, clock, write_scheduler, self._serve_grpc, long_lived=True)
+    def __init__(self, context: ComponentContext, address: tuple[str, int], current_status: CurrentStatus):
+        super().__init__(context, "grpc-server", address, self._serve_grpc, long_lived=True)
         self._current_status = current_status
         self._connections: dict[BufferedSocket, GrpcHealthServer] = {}
 
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -159,7 +159,7 @@
         """Serves until `stop` is called, or a signal requests it, and everything accepted is answered."""
         if self.upgrade is not None:
             await self.upgrade.inherit()
-        sockets = open_sockets(self.config, self.engine, self.listeners, self.components)
+        sockets = open_sockets(self.context, self.components)
         self.address = sockets.listener.getsockname()[:2]
         self.peers = sockets.peers
         self.engine.peers = sockets.peers
--- a/rookbend/testing/cluster/scenario.py
+++ b/rookbend/testing/cluster/scenario.py
@@ -19,6 +19,7 @@
 
 import trio
 
+from rookbend.net.fault_containment import EVENT as COMPONENT_FAULT
 from rookbend.protocol.coordinator_stream import split_address
 from rookbend.testing import fault_timeline, fault_timeline_format
 from rookbend.testing.cluster.address_block import AddressBlock
@@ -202,15 +203,25 @@
         found = self.record.breaches()
         assert not found, "\n".join([*(f"{b.rule}: {b.subject} {b.text}" for b in found[:10]), self.report()])
 
+    def assert_no_component_fault(self) -> None:
+        """Raises AssertionError where a director has logged a fault that it contained."""
+        logged = [line for node in self.every_node() for life in node.lines for line in life]
+        faults = [line for line in logged if line.get("event") == COMPONENT_FAULT]
+        assert not faults, "\n".join(str(fault.get("traceback")) for fault in faults[:3])
+
     def worth(self, since_us: int = 0, until_us: int = 1 << 62) -> float:
         """The share of the worth asked for in that time that was earned."""
         ended = self.front.ended(since_us, until_us)
         asked = sum(self.front.kinds[e.traffic_class].worth.priority_weight for e in ended)
         return sum(earned_weight(self.front.kinds[e.traffic_class].worth, e) for e in ended) / asked if asked else 1.0
 
+    def every_node(self) -> list[Node]:
+        """The newest process of each director, and those before it."""
+        return [*self.nodes.values(), *(old for olds in self.elders.values() for old in olds)]
+
     async def stop(self) -> None:
         """Ends exactly the processes that the scene has started."""
-        every = [*self.nodes.values(), *(old for olds in self.elders.values() for old in olds)]
+        every = self.every_node()
         for node in every:
             if node.running:
                 node.kill()
--- a/rookbend/testing/cluster/scenario_runner.py
+++ b/rookbend/testing/cluster/scenario_runner.py
@@ -53,6 +53,7 @@
                     nursery.start_soon(_when_admitted, scene)
                 try:
                     yield scene
+                    scene.assert_no_component_fault()
                 finally:
                     with trio.CancelScope(shield=True):
                         scene.front.running.cancel()
--- a/tests/director_scenario.py
+++ b/tests/director_scenario.py
@@ -161,11 +161,13 @@
 
 
 @asynccontextmanager
-async def staged(members=("cache1", "upper", "records"), **changes):
+async def staged(members=("cache1", "upper", "records"), component_faults=0, **changes):
+    """`component_faults`: how many are planted; any other fails the test, so that none hides behind its containment."""
     async with trio.open_nursery() as nursery:
         stage = Stage(nursery)
         await stage.open(members, **changes)
         yield stage
+        assert stage.service.counters.component_faults == component_faults
         nursery.cancel_scope.cancel()
 
 
--- /dev/null
+++ b/tests/test_fault_containment.py
@@ -0,0 +1,147 @@
+"""An unexpected exception in the task of one caller, check, lookup or datagram ends that task alone."""
+
+import socket
+from types import SimpleNamespace
+
+import pytest
+import trio
+import trio.testing
+
+from rookbend.net.peers import PeerSocket
+from tests.director_scenario import on_stage, staged
+from tests.test_dns_front import NAMED, READ
+
+GET = b"GET /health HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n"
+ADMIN = "[admin]\n listen 127.0.0.1:0\n"
+CHECK = "[health]\n[check web]\n type http\n port AGENTS\n interval 1s\n"
+
+
+class PlantedError(Exception):
+    """No code of the program raises it."""
+
+
+def fail(*args, **more):
+    raise PlantedError
+
+
+async def bytes_of(address, request):
+    async with await trio.open_tcp_stream(*address) as stream:
+        await stream.send_all(request)
+        await stream.send_eof()
+        return b"".join([data async for data in stream])
+
+
+def faults(capsys):
+    lines = [line for line in capsys.readouterr().err.splitlines() if "event=component_fault" in line]
+    assert all("PlantedError" in line and "Traceback" in line for line in lines)
+    return [line.partition("component=")[2].split()[0] for line in lines]
+
+
+def test_a_callers_fault_ends_its_connection_alone_and_is_logged_and_counted(monkeypatch, capsys):
+    async def steps(stage):
+        _, http, _ = stage.service.balancer
+        for server, answered in ((http, b"200"), (stage.service.admin, b"404")):
+            with monkeypatch.context() as planted:
+                planted.setattr("rookbend.net.http_server.HttpServerConnection.feed", fail)
+                assert await bytes_of(server.address, GET) == b""
+            assert answered in await bytes_of(server.address, GET) and server.clients == 0
+
+    on_stage(steps, operators=ADMIN, component_faults=2)
+    assert faults(capsys) == ["http-server", "admin"]
+
+
+def test_the_operators_callers_fault_ends_its_connection_alone(monkeypatch, capsys):
+    async def main():
+        async with staged(operator="127.0.0.1:0", component_faults=1) as stage:
+            endpoint = stage.service.operations.endpoint
+            with monkeypatch.context() as planted:
+                planted.setattr(endpoint.api, "answer", fail)
+                assert await bytes_of(endpoint.address, b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n") == b""
+            assert b" 200 " in await bytes_of(endpoint.address, b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert faults(capsys) == ["operator"]
+
+
+@pytest.mark.parametrize("way", ["", "tcp "])
+def test_a_lookups_fault_costs_that_lookup_alone(way, monkeypatch, capsys):
+    async def steps(stage):
+        with monkeypatch.context() as planted:
+            planted.setattr(stage.service.dns.front, "query", fail)
+            await stage.play(f"dns send {way}{READ} id=6\n dns expect nothing")
+        await stage.play(NAMED)
+
+    on_stage(steps, component_faults=1)
+    assert faults(capsys) == ["dns"]
+
+
+def test_a_resolvers_fault_fails_that_lookup_alone(monkeypatch, capsys):
+    async def steps(stage):
+        with monkeypatch.context() as planted:
+            planted.setattr("rookbend.net.dns_resolver.parse_addresses", fail)
+            await stage.play(NAMED.replace("dns expect udp id=7 NOERROR cache1.example.org 127.0.0.11 ttl=0", ""))
+            await stage.play("dns expect id=7 SERVFAIL unnamed")
+        await stage.play(NAMED.replace("id=7", "id=8"))
+
+    on_stage(steps, component_faults=1)
+    assert faults(capsys) == ["resolver"]
+
+
+def test_a_checks_fault_has_no_result_and_the_next_run_is_due_as_ever(monkeypatch, capsys):
+    async def steps(stage):
+        runs = []
+
+        async def run(self, started_us):
+            runs.append(started_us)
+            raise PlantedError
+
+        monkeypatch.setattr("rookbend.net.check_exchange.CheckRun.run", run)
+        await trio.sleep(5)
+        assert len(runs) >= 4 and stage.state("cache1")[0] == "ready"
+        stage.service.counters.component_faults -= len(runs)
+
+    on_stage(steps, operators=CHECK)
+    assert set(faults(capsys)) == {"checks"}
+
+
+def test_a_datagrams_fault_costs_that_datagram_alone(capsys):
+    async def steps(stage):
+        received = []
+
+        def take(sender, data):
+            received.append((sender, data))
+            if data == b"bad":
+                raise PlantedError
+
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as ours,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peers,
+        ):
+            for sock in (ours, peers):
+                sock.bind(("127.0.0.1", 0))
+                sock.setblocking(False)
+            engine = SimpleNamespace(peer_message=take)
+            peer_socket = PeerSocket(engine, stage.service.context.containment, ours, [peers.getsockname()], None)
+            stage.nursery.start_soon(peer_socket.run)
+            for data in (b"bad", b"good"):
+                peers.sendto(data, ours.getsockname())
+                await trio.testing.wait_all_tasks_blocked()
+            assert received == [(0, b"bad"), (0, b"good")]
+            stage.nursery.cancel_scope.cancel()
+
+    on_stage(steps, component_faults=1)
+    assert faults(capsys) == ["peers"]
+
+
+@pytest.mark.parametrize("passing", [KeyboardInterrupt, SystemExit, trio.Cancelled])
+def test_cancellation_and_exit_pass(passing):
+    async def steps(stage):
+        if passing is trio.Cancelled:
+            with trio.move_on_after(1) as scope, stage.service.context.containment.contain("peers"):
+                await trio.sleep_forever()
+            return scope.cancelled_caught
+        with pytest.raises(passing), stage.service.context.containment.contain("peers"):
+            raise passing
+        return True
+
+    assert on_stage(steps)
