A connect that completes after its member has gone is closed

What callers saw: nothing; a descriptor and a place at the member were held until the member closed. Cause: a connection that completes after `retire` was added to a pool that nobody closes any more. Evidence: a connect of 0.2 s, the member deleted after 0.1 s: 2 connections open, 1 of use. Change: it is closed once what waited for it is placed anew.

--- a/rookbend/net/member_pool.py
+++ b/rookbend/net/member_pool.py
@@ -95,6 +95,8 @@
         if self.restart.connected():
             context.engine.member_restarted(self.endpoint.member.server)
         self.dispatch_waiting()
+        if self.retired:  # the member has gone while this was being opened
+            self._finish_if_unused(connection)
         await connection.run()
 
     def _connect_failed(self, began_us: int) -> None:
--- a/tests/test_member_connections.py
+++ b/tests/test_member_connections.py
@@ -1,8 +1,11 @@
 """Connections to members on loopback: spoilt and late answers, ids used again, sharing."""
 
+import trio
+
 from rookbend.core.model import AttemptResult
 from rookbend.interface import AttemptStatus
-from tests.director_scenario import on_stage, play
+from rookbend.net import member_pool
+from tests.director_scenario import OBJ, on_stage, play
 
 
 def test_garbage_from_a_cache_closes_that_connection_only():
@@ -128,3 +131,27 @@
         max_connections=2,
     )
     assert service.counters.connects == 2
+
+
+def test_a_connect_that_completes_after_its_member_has_gone_is_closed(monkeypatch):
+    # Guards against a connection that nobody uses and nobody closes until the member does.
+    connect = member_pool.open_socket
+
+    async def connect_late(address):
+        await trio.sleep(0.2)
+        return await connect(address)
+
+    async def check(stage):
+        monkeypatch.setattr(member_pool, "open_socket", connect_late)
+        await stage.play(f"""
+            client send request 1 video
+            director wait 0.1
+            coordinator send DELETED cache1
+            upper expect do k={OBJ}
+            upper send ok note=mem body=hello
+            client expect served 1 hello
+            director wait 1
+        """)
+        assert stage.service.counters.connects == 2 and stage.service.pool.open_connections == 1
+
+    on_stage(check)
