A reload with other voters no longer asks for a restart

What operators saw: `restart_for=[ownership]` at a SIGHUP with other voters and at every later one, though they are in force. Cause: sections were compared whole with those of the start. Change: reload knows the options of a section that take effect (ownership: voters) and keeps those in force.

--- a/rookbend/reload.py
+++ b/rookbend/reload.py
@@ -26,6 +26,8 @@
 FIXED_NAME_LISTS = ("zones", "kinds")
 # Of the operators' settings, what a reload changes.
 RELOADABLE_SECTIONS = ("health", "checks")
+# Of other sections, the options that a reload changes where the section is on before and after.
+RELOADABLE_OPTIONS = {"ownership": ("voters",)}
 
 ReadConfig = Callable[[Config], tuple[Config, Settings]]
 
@@ -105,12 +107,27 @@
         not_applied = [
             f"[{name.replace('_', '-')}]"
             for name in Settings.__struct_fields__
-            if getattr(operators, name) != getattr(context.operators, name)
+            if _needs_restart(name, getattr(context.operators, name), getattr(operators, name))
             and not (name in RELOADABLE_SECTIONS and can_reload)
         ]
         for component in context.components:
             component.reload(operators)
-        if can_reload:
-            applied: dict[str, Any] = {name: getattr(operators, name) for name in RELOADABLE_SECTIONS}
-            context.operators = msgspec.structs.replace(context.operators, **applied)
+        applied: dict[str, Any] = {name: getattr(operators, name) for name in RELOADABLE_SECTIONS if can_reload}
+        for name in RELOADABLE_OPTIONS:
+            before, after = getattr(context.operators, name), getattr(operators, name)
+            if before is not None and after is not None:
+                applied[name] = _with_options_of(before, after, name)
+        context.operators = msgspec.structs.replace(context.operators, **applied)
         return not_applied
+
+
+def _with_options_of(section: msgspec.Struct, other: msgspec.Struct, name: str) -> msgspec.Struct:
+    """The section with the other's values of the options that a reload changes."""
+    return msgspec.structs.replace(section, **{option: getattr(other, option) for option in RELOADABLE_OPTIONS[name]})
+
+
+def _needs_restart(name: str, before: Any, after: Any) -> bool:
+    """Whether a section has changed in more than what a reload changes."""
+    if name in RELOADABLE_OPTIONS and before is not None and after is not None:
+        return bool(_with_options_of(before, after, name) != after)
+    return bool(before != after)
--- /dev/null
+++ b/tests/test_reload_voters.py
@@ -0,0 +1,36 @@
+"""SIGHUP with other voters: they take effect, and only what does not is said to wait for a restart."""
+
+import msgspec
+import pytest
+
+from rookbend.settings import Settings
+from rookbend.settings.sections import Ownership
+from tests.director_scenario import on_stage
+
+VOTERS = Ownership(voters=(0, 1, 2))
+
+
+@pytest.mark.parametrize(
+    "before, after, waits",
+    [
+        (VOTERS, Ownership(voters=(0, 1, 2, 3, 4)), "nothing"),
+        (VOTERS, Ownership(), "nothing"),
+        (VOTERS, Ownership(voters=(0, 1, 2), shards=4), "[ownership]"),
+        (VOTERS, Ownership(voters=(0, 1), shards=4), "[ownership]"),
+        (VOTERS, None, "[ownership]"),
+        (None, VOTERS, "[ownership]"),
+    ],
+)
+def test_a_reload_names_the_section_only_where_more_than_the_voters_has_changed(before, after, waits, capsys):
+    # Guards against a restart that is asked for, at this SIGHUP and all later ones, for voters that are in force.
+    async def steps(stage):
+        context = stage.service.reload._context
+        context.operators = msgspec.structs.replace(context.operators, ownership=before)
+        stage.operators = msgspec.structs.replace(stage.operators, ownership=after)
+        stage.service.reload()
+        stage.service.reload()
+        assert isinstance(context.operators, Settings)
+
+    on_stage(steps)
+    lines = [line for line in capsys.readouterr().err.splitlines() if "event=reloaded" in line]
+    assert [line.rpartition("restart_for=")[2] for line in lines] == [waits, waits]
