A seeded soak of the program: restarts, reloads, upgrades, returning members, silent lists

Cause: faults of two events that meet were found one by one; no run of the program plays many of them under load.

--- a/rookbend/testing/cluster/clients.py
+++ b/rookbend/testing/cluster/clients.py
@@ -15,7 +15,7 @@
 from rookbend.testing.cluster.relay import reset
 from rookbend.testing.cluster.shared_state import digest, group_of
 from rookbend.testing.cluster.traffic_classes import KINDS, Kind
-from rookbend.testing.cluster.workload import Line, Target, Wish
+from rookbend.testing.cluster.workload import Line, LostRequest, Target, Wish
 from rookbend.testing.invariant_events import ClientClosed, RequestSent, ResponseReceived
 from rookbend.testing.open_loop_client import encode_frame
 from rookbend.testing.weighted_score import RequestOutcome, earned_weight
@@ -49,6 +49,8 @@
         self.targets: dict[str, Target] = {}
         self.wishes: list[Wish] = []
         self.late_s = 0.0  # the most that a request was sent late: the lab's own lateness
+        self.lost: list[LostRequest] = []
+        self.heeds_closing = True  # whether a connection takes no new request once the director has announced its end
         self.unsent = 0  # wishes for which no director was admitted
         self.changed = trio.Event()  # something was answered, admitted or lost
         self._rid = 0
@@ -108,7 +110,8 @@
             pass
         finally:
             target.lines.remove(line)
-            for rid, wish in line.open.values():
+            for stream_number, (rid, wish) in line.open.items():
+                self.lost.append(LostRequest(target.name, line.sent_us[stream_number], now_us()))
                 # The process, or the way to it, has gone: that it left them unanswered is no breach.
                 self.record.see(ClientClosed(now_us(), rid))
                 wish.verdicts.append("lost")
@@ -128,7 +131,7 @@
         async for more in line.stream:
             data += more
             while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
-                if data[4] == CLOSING and not line.closing:
+                if data[4] == CLOSING and self.heeds_closing and not line.closing:
                     line.closing = True  # the next request goes out on a new connection
                     target.nursery.start_soon(self._hold, target)
                 self._take(line, data[4 : 4 + size])
@@ -141,6 +144,7 @@
             return  # 3: no new request here; the connection ends by itself
         stream, verdict = int.from_bytes(data[1:5], "big"), VERDICTS.get(data[5], "failed")
         rid, wish = line.open.pop(stream, ("", None))
+        line.sent_us.pop(stream, None)
         fields, at = {}, 7
         for _ in range(data[6]):
             n = at + 1 + data[at]
@@ -182,8 +186,7 @@
             wish.verdicts.append("unsent")  # dead and not noticed, or full
             return self._again(wish, 0.5)
         line = min(lines, key=lambda held: len(held.open))
-        self._rid += 1
-        line.last += 1
+        self._rid, line.last = self._rid + 1, line.last + 1
         rid = f"{self.random.getrandbits(32):08x}{self._rid:08x}"
         fields = {
             "method": kind.worth.name,
@@ -193,10 +196,10 @@
             "chunk": str(wish.part),
             "tag": str(group_of(wish.key)),
         }
-        if wish.tries > 1:
-            fields["again"] = "1"
-        line.open[line.last] = rid, wish
+        fields |= {"again": "1"} if wish.tries > 1 else {}
         now = now_us()
+        line.open[line.last] = rid, wish
+        line.sent_us[line.last] = now
         self.record.see(
             RequestSent(
                 now, rid, target.name, kind.write, now + kind.deadline_us, (wish.key, wish.part), group_of(wish.key)
--- /dev/null
+++ b/rookbend/testing/cluster/soak.py
@@ -0,0 +1,233 @@
+"""A seeded soak: a fleet under load while directors restart, reload, are upgraded, members return, lists fall silent.
+
+The seed draws the events and their moments. Judged are the rules' checker, contained faults, exit codes, the time to
+readiness, and each request that was lost: after SIGTERM the platform's page lets a director lose only what comes more
+than 0.7 s after it.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from rookbend.protocol.coordinator_stream import split_address
+from rookbend.testing.cluster.process import Node
+from rookbend.testing.cluster.record import now_us
+from rookbend.testing.cluster.scenario import Scene
+from rookbend.testing.cluster.scenario_runner import stage
+from rookbend.testing.cluster.traffic_classes import KINDS
+
+DIRECTORS = 3
+RATE = 60.0
+CROWD = 150  # connections that say nothing
+CROWD_S = 3.0
+LATE_REQUEST_US = 700_000  # after SIGTERM; what comes later may be lost
+LEAST_DEADLINE_US = 3_000_000  # what the longest deadline counts as where it is shorter
+LONGEST_DEADLINE_US = max(LEAST_DEADLINE_US, *(kind.deadline_us for kind in KINDS))
+KILL_AFTER_S = (LONGEST_DEADLINE_US + LATE_REQUEST_US) / 1e6
+READY_WITHIN_S = 10.0
+LONGEST_PAUSE_S = 1.5
+
+
+@dataclass
+class SoakResult:
+    """What one seed came to; `failures` in words, none where all held."""
+
+    seed: int
+    events: list[str] = field(default_factory=list)
+    requests: int = 0
+    served: int = 0
+    lost: int = 0
+    slowest_start_s: float = 0.0
+    crowd: bool = False
+    failures: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """One seed; `seconds` is how long new events begin."""
+
+    def __init__(self, scene: Scene, seed: int, seconds: float):
+        self.scene = scene
+        self.seconds = seconds
+        self.random = random.Random(f"{seed} soak")
+        self.result = SoakResult(seed, crowd=seed % 3 == 0)
+        self.stopped_us: dict[str, list[int]] = {name: [] for name in scene.names}  # SIGTERM
+        self._events: list[Callable[[str], Awaitable[None]]] = [
+            self._restart,
+            self._restart_with_second_signal,
+            self._reload_within_drain,
+            self._signals_at_once,
+            self._reload,
+            self._reload_of_broken_files,
+            self._upgrade,
+            self._reload_within_upgrade,
+            self._member_restart,
+            self._silent_coordinator,
+        ]
+
+    async def run(self) -> SoakResult:
+        """Plays the events one after the other, and judges."""
+        await self.scene.serve_with_doors()
+        await self.scene.served_more(50)
+        if self.result.crowd:
+            self.scene.nursery.start_soon(self._crowd)
+        end_s = trio.current_time() + self.seconds
+        while trio.current_time() < end_s:
+            event = self.random.choice(self._events)
+            director = self.random.choice(self.scene.names)
+            self.result.events.append(f"{event.__name__.strip('_')} {director}")
+            self.scene.record.note("fault", director, event.__name__.strip("_"))
+            await event(director)
+            await trio.sleep(self.random.uniform(0, LONGEST_PAUSE_S))
+        await self.scene.served_more(50)
+        self._judge()
+        return self.result
+
+    # Directors
+
+    def _stop(self, node: Node) -> None:
+        self.stopped_us[node.name].append(now_us())
+        node.signal(signal.SIGTERM)
+
+    async def _until_ended(self, node: Node) -> None:
+        """SIGKILL comes at the page's earliest."""
+        with trio.move_on_after(KILL_AFTER_S):
+            if code := await node.ended():
+                self.result.failures.append(f"{node.name} ended with {code}")
+            return
+        self.result.failures.append(f"{node.name} had not ended {KILL_AFTER_S:g} s after SIGTERM")
+        node.kill()
+        await node.ended()
+
+    async def _start_again(self, name: str) -> None:
+        began_s = trio.current_time()
+        await self.scene.until(lambda: not self.scene.front.targets[name].admitted, f"{name} is missed")
+        await self.scene.start(name)
+        await self.scene.admitted(name)
+        took_s = trio.current_time() - began_s
+        self.result.slowest_start_s = max(self.result.slowest_start_s, took_s)
+        if took_s > READY_WITHIN_S:
+            self.result.failures.append(f"{name} was ready after {took_s:.1f} s")
+
+    async def _restart(self, name: str, *then: signal.Signals, within_s: float = 0.0) -> None:
+        node = self.scene.nodes[name]
+        self._stop(node)
+        for number in then:
+            await trio.sleep(within_s)
+            node.signal(number)
+        await self._until_ended(node)
+        await self._start_again(name)
+
+    async def _restart_with_second_signal(self, name: str) -> None:
+        await self._restart(name, signal.SIGTERM, signal.SIGINT, within_s=self.random.uniform(0, 1.0))
+
+    async def _reload_within_drain(self, name: str) -> None:
+        self._write_changed_config(name)
+        await self._restart(name, signal.SIGHUP, within_s=self.random.uniform(0, 1.0))
+
+    async def _signals_at_once(self, name: str) -> None:
+        node = self.scene.nodes[name]
+        for number in self.random.sample((signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP), 3):
+            node.signal(number)
+        await self._restart(name)
+
+    def _write_changed_config(self, name: str) -> None:
+        attempts = self.random.randint(3, 6)
+        self.scene.change = lambda settings: {**settings, "limits": {**settings["limits"], "maxAttempts": attempts}}
+        node = self.scene.nodes[name]
+        operator = json.loads(node.config_file.read_text())["operator"]
+        node.config_file.write_text(json.dumps({**self.scene.config(name), "operator": operator}))
+
+    async def _reload(self, name: str) -> None:
+        node = self.scene.nodes[name]
+        before = len(node.heard("reloaded"))
+        self._write_changed_config(name)
+        node.signal(signal.SIGHUP)
+        await self.scene.until(lambda: len(node.heard("reloaded")) > before, f"{name} reloads")
+
+    async def _reload_of_broken_files(self, name: str) -> None:
+        node = self.scene.nodes[name]
+        before = len(node.heard("reload_failed"))
+        whole = node.config_file.read_bytes()
+        node.config_file.write_bytes(whole[: self.random.randrange(1, len(whole))])
+        node.signal(signal.SIGHUP)
+        await self.scene.until(lambda: len(node.heard("reload_failed")) > before, f"{name} refuses to reload")
+        node.config_file.write_bytes(whole)
+
+    async def _upgrade(self, name: str, reload: bool = False) -> None:
+        old = await self.scene.upgrade(name)
+        if reload:
+            await trio.sleep(self.random.uniform(0, 0.5))
+            old.signal(signal.SIGHUP)
+        await self.scene.until_yes(name)
+        self._stop(old)
+        await self._until_ended(old)
+
+    async def _reload_within_upgrade(self, name: str) -> None:
+        await self._upgrade(name, reload=True)
+
+    # What is round them
+
+    async def _member_restart(self, _name: str) -> None:
+        member = self.random.choice([box.name for box in self.scene.caches])
+        self.scene.power_off(member)
+        await trio.sleep(self.random.uniform(0.1, 1.0))
+        await self.scene.power_on(member)
+
+    async def _silent_coordinator(self, _name: str) -> None:
+        self.scene.coordinator.go()
+        await trio.sleep(self.random.uniform(0.5, 3.0))
+        self.scene.coordinator.back()
+
+    async def _crowd(self) -> None:
+        """Clients that connect to one director at once and send nothing."""
+        address = split_address(self.scene.places[self.random.choice(self.scene.names)]["listen"])
+        await trio.sleep(self.random.uniform(0, self.seconds / 2))
+        async with trio.open_nursery() as nursery:
+            for _ in range(CROWD):
+                nursery.start_soon(self._hold_silent, address)
+
+    @staticmethod
+    async def _hold_silent(address: tuple[str, int]) -> None:
+        try:
+            async with await trio.open_tcp_stream(*address) as stream:
+                with trio.move_on_after(CROWD_S):
+                    await stream.receive_some()
+        except (OSError, trio.BrokenResourceError):
+            pass  # the director is restarting, or has closed it
+
+    # Judgement
+
+    def _may_be_lost(self, director: str, sent_us: int) -> bool:
+        return any(
+            LATE_REQUEST_US <= sent_us - stopped_us <= KILL_AFTER_S * 1e6 for stopped_us in self.stopped_us[director]
+        )
+
+    def _judge(self) -> None:
+        front, result = self.scene.front, self.result
+        result.requests = len(front.wishes)
+        result.served = sum(wish.done_us > 0 for wish in front.wishes)
+        result.lost = len(front.lost)
+        result.failures += [
+            f"lost at {request.director}: sent {(request.sent_us - self.scene.record.began_us) / 1e6:.3f} s, "
+            f"lost {(request.lost_us - self.scene.record.began_us) / 1e6:.3f} s"
+            for request in front.lost
+            if not self._may_be_lost(request.director, request.sent_us)
+        ]
+        result.failures += [f"{v.rule}: {v.subject} {v.text}" for v in self.scene.record.breaches()]
+
+
+async def soak(seed: int, seconds: float) -> SoakResult:
+    """Plays one seed. Raises AssertionError where a director has contained a fault, or a wait hung."""
+    async with stage(DIRECTORS, 3, 1, seed, rate=RATE) as scene:
+        scene.front.heeds_closing = seed % 2 == 0  # the others use open connections to the end
+        result = await Soak(scene, seed, seconds).run()
+        scene.front.running.cancel()
+        if result.failures:
+            raise AssertionError("\n".join([*result.failures, *result.events]))
+    return result
--- a/rookbend/testing/cluster/workload.py
+++ b/rookbend/testing/cluster/workload.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import trio
 
@@ -21,11 +22,20 @@
     done_us: int = 0
 
 
+class LostRequest(NamedTuple):
+    """A request whose connection ended before its answer came."""
+
+    director: str
+    sent_us: int
+    lost_us: int
+
+
 class Line:
     """One connection of the front to a director."""
 
     def __init__(self, stream: trio.SocketStream):
         self.stream, self.open = stream, {}  # stream number: (rid, wish)
+        self.sent_us: dict[int, int] = {}  # by stream number, while it is open
         self.last = 0
         self.closing = False  # the director takes nothing new on it
         self.queue: deque[bytes] = deque()
