A state machine is called machine, not coordinator, in its drivers, status and simulation

Cause: the coordinator is the platform's; drivers of leases and recovery used its name for their state machine (ROADMAP's list). Change: names only; CoordinatorParts is LeaseParts, coordinator_config lease_config, coordinator_status lease_status.

--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -124,9 +124,7 @@
     sent, size, began = sum(sim.network.datagrams_by_second.values()), sim.network.bytes_sent, sim.now_us
     sim.run(10 * SECOND_US)
     seconds = (sim.now_us - began) / 1e6
-    most = max(n.coordinator.actions.sent for n in sim.directors) / (
-        (sim.now_us - sim.directors[0].coordinator.began_us) / 1e6
-    )
+    most = max(n.machine.actions.sent for n in sim.directors) / ((sim.now_us - sim.directors[0].machine.began_us) / 1e6)
     return {
         "datagrams": (sum(sim.network.datagrams_by_second.values()) - sent) / seconds / count,
         "bytes": (sim.network.bytes_sent - size) / seconds / count,
--- a/rookbend/leases/machine.py
+++ b/rookbend/leases/machine.py
@@ -16,9 +16,9 @@
 from rookbend.leases.actions import Action
 from rookbend.leases.config import LeaseConfig
 from rookbend.leases.leader_tasks import REPORT_SCOPE
-from rookbend.leases.parts import CoordinatorParts
+from rookbend.leases.parts import LeaseParts
 from rookbend.leases.state import GRANT_KIND, LOG_KIND, Row, restore
-from rookbend.leases.status import coordinator_status
+from rookbend.leases.status import lease_status
 
 TICK_US = 100_000
 LEAST_TICK_RATIO, TICK_SPREAD_RATIO = 0.85, 0.3
@@ -37,7 +37,7 @@
         self.incarnation = incarnation
         self.began_us = now_us
         self.due_us = now_us
-        self.parts = CoordinatorParts(config, now_us, incarnation, restore(rows))
+        self.parts = LeaseParts(config, now_us, incarnation, restore(rows))
         self.leases = self.parts.leases
         self.actions = self.parts.actions
         self._event_handlers = self._handlers_of_events()
@@ -56,7 +56,7 @@
 
     def describe(self, now_us: int, without: int = -1) -> dict[str, object]:
         """Scopes and their holders as this director knows them, and who should hold each without that director."""
-        return coordinator_status(now_us, self.parts, without)
+        return lease_status(now_us, self.parts, without)
 
     @property
     def unusable_datagrams(self) -> int:
--- a/rookbend/leases/parts.py
+++ b/rookbend/leases/parts.py
@@ -36,7 +36,7 @@
 DATAGRAMS_PER_S, DATAGRAM_BURST = 400.0, 800
 
 
-class CoordinatorParts:
+class LeaseParts:
     """The parts of one incarnation of a director; `state` is what earlier ones left in durable storage.
 
     All draws of random numbers are of one generator, in the order in which the parts need them.
--- a/rookbend/leases/status.py
+++ b/rookbend/leases/status.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from rookbend.leases.leader_tasks import rendezvous_ranking, scope_name
-from rookbend.leases.parts import CoordinatorParts
+from rookbend.leases.parts import LeaseParts
 
 
-def coordinator_status(now_us: int, parts: CoordinatorParts, without: int) -> dict[str, object]:
+def lease_status(now_us: int, parts: LeaseParts, without: int) -> dict[str, object]:
     """All scopes and their holders as this director knows them; times in milliseconds.
 
     `next` is who should hold each scope if the director `without` were gone.
@@ -32,7 +32,7 @@
     now_us: int,
     scope: int,
     candidates: frozenset[int],
-    parts: CoordinatorParts,
+    parts: LeaseParts,
 ) -> dict[str, object]:
     lease = parts.leases.leases[scope]
     candidacy = parts.leases.candidacies[scope]
--- a/rookbend/net/fleet_orders.py
+++ b/rookbend/net/fleet_orders.py
@@ -23,15 +23,15 @@
 
 
 class FleetOrders:
-    """`now` reads the coordinator's clock in µs; `feed` its events."""
+    """`now` reads the machine's clock in µs; `feed` its events."""
 
     def __init__(
         self,
-        coordinator: LeaseMachine,
+        machine: LeaseMachine,
         now: Callable[[], int],
         feed: Callable[[OrderRequested | MoveRequested], None],
     ):
-        self._coordinator = coordinator
+        self._machine = machine
         self._now = now
         self._feed = feed
         self._ids = itertools.count(1)
@@ -44,7 +44,7 @@
         self._pending[order_id] = outcome
         self._feed(OrderRequested(order_id, target, order, operator))
         try:
-            await outcome.completed.wait()  # the coordinator completes each order in its time
+            await outcome.completed.wait()  # the machine completes each order in its time
         finally:
             del self._pending[order_id]
         return outcome.error
@@ -62,9 +62,9 @@
             scope = parse_scope(scope_name)
         except UnknownTaskError:
             return 404, f"no scope {scope_name}"
-        if scope not in self._coordinator.leases.leases:
+        if scope not in self._machine.leases.leases:
             return 404, f"{scope_name} is off"
-        if command != "unpin" and not 0 <= director < self._coordinator.config.director_count:
+        if command != "unpin" and not 0 <= director < self._machine.config.director_count:
             return 400, f"no director {director}"
         if command == "move":
             return self._move(scope, scope_name, director)
@@ -73,7 +73,7 @@
         return (503, error) if error else (200, "")
 
     def _move(self, scope: int, scope_name: str, director: int) -> tuple[int, str]:
-        if not self._coordinator.leases.held_token(self._now(), scope):
+        if not self._machine.leases.held_token(self._now(), scope):
             return 409, f"{scope_name} is not ours; its owner can move it"
         self._feed(MoveRequested(scope, director))
         return 200, ""
--- a/rookbend/net/leases.py
+++ b/rookbend/net/leases.py
@@ -51,7 +51,7 @@
     return names
 
 
-def coordinator_config(context: ComponentContext) -> LeaseConfig:
+def lease_config(context: ComponentContext) -> LeaseConfig:
     """What the settings say, for the state machine."""
     operators = context.operators
     wanted: Any = operators.ownership
@@ -86,7 +86,7 @@
     def __init__(self, context: ComponentContext):
         super().__init__(context)
         self.recovery = cast("RecoveryComponent", context.built["recovery"])
-        config = coordinator_config(context)
+        config = lease_config(context)
         incarnation = secrets.randbits(INCARNATION_BITS) + 1
         self.machine = LeaseMachine(config, self.now(), incarnation, persisted_rows(self.state))
         check_names = [check.name for check in context.operators.checks]
@@ -112,17 +112,17 @@
 
     def gauges(self) -> dict[str, float]:
         """Figures for metrics."""
-        coordinator = self.machine
-        candidacies = coordinator.leases.candidacies.values()
+        machine = self.machine
+        candidacies = machine.leases.candidacies.values()
         return {
-            "ownership_owned": len(coordinator.leases.held_scopes(self.now())),
-            "ownership_changes": coordinator.parts.election.leases_acquired,
-            "ownership_acts_turned_away": coordinator.parts.fenced.rejected,
-            "ownership_datagrams_sent": coordinator.actions.sent,
-            "ownership_datagrams_unreadable": coordinator.unusable_datagrams,
-            "ownership_datagrams_silenced": coordinator.actions.suppressed,
+            "ownership_owned": len(machine.leases.held_scopes(self.now())),
+            "ownership_changes": machine.parts.election.leases_acquired,
+            "ownership_acts_turned_away": machine.parts.fenced.rejected,
+            "ownership_datagrams_sent": machine.actions.sent,
+            "ownership_datagrams_unreadable": machine.unusable_datagrams,
+            "ownership_datagrams_silenced": machine.actions.suppressed,
             "ownership_ownerless": sum(candidacy.leaderless_since_us > 0 for candidacy in candidacies),
-            "ownership_orders_stand": coordinator.parts.orders.log.committed,
+            "ownership_orders_stand": machine.parts.orders.log.committed,
         }
 
     def describe(self, without: int = -1) -> dict[str, object]:
--- a/rookbend/net/recovery.py
+++ b/rookbend/net/recovery.py
@@ -90,16 +90,16 @@
 
     def gauges(self) -> dict[str, float]:
         """Figures for metrics."""
-        coordinator = self.machine
+        machine = self.machine
         return {
-            "recovery_stage": int(coordinator.sequence.stage),
-            "recovery_up": coordinator.peers.live_count(self.now()),
-            "recovery_gap_open": not coordinator.missed_purges.covered,
+            "recovery_stage": int(machine.sequence.stage),
+            "recovery_up": machine.peers.live_count(self.now()),
+            "recovery_gap_open": not machine.missed_purges.covered,
             "recovery_datagrams_sent": self.datagrams_sent,
-            "recovery_datagrams_unreadable": coordinator.receiver.unreadable,
-            "recovery_datagrams_silenced": coordinator.actions.suppressed,
-            "recovery_peers_doubted": sum(peer.rejection is not None for peer in coordinator.peers.rows.values()),
-            "recovery_origin_halved": coordinator.ramp.halvings,
+            "recovery_datagrams_unreadable": machine.receiver.unreadable,
+            "recovery_datagrams_silenced": machine.actions.suppressed,
+            "recovery_peers_doubted": sum(peer.rejection is not None for peer in machine.peers.rows.values()),
+            "recovery_origin_halved": machine.ramp.halvings,
         }
 
     # Events
--- a/rookbend/net/shard_checks.py
+++ b/rookbend/net/shard_checks.py
@@ -14,19 +14,19 @@
 
 
 class ShardChecks:
-    """`health` is the part that checks members; `now` reads the coordinator's clock in µs; `feed` its events."""
+    """`health` is the part that checks members; `now` reads the machine's clock in µs; `feed` its events."""
 
     def __init__(
         self,
         health: Any,
-        coordinator: LeaseMachine,
+        machine: LeaseMachine,
         check_names: Sequence[str],
         now: Callable[[], int],
         feed: Callable[[CheckResultsCollected], None],
     ):
         self._health = health
-        self._coordinator = coordinator
-        self._follower = coordinator.parts.shard_follower
+        self._machine = machine
+        self._follower = machine.parts.shard_follower
         self._check_names = list(check_names)
         self._now = now
         self._feed = feed
@@ -38,7 +38,7 @@
         self._health.driver.on_result = self.check_ended
 
     def _scope_of(self, member_number: int) -> int:
-        return checks_scope_of(member_number, self._coordinator.config.shards)
+        return checks_scope_of(member_number, self._machine.config.shards)
 
     def _registry_rows(self, scope: int) -> list[Any]:
         rows = self._health.service.registry.members.items()
@@ -48,7 +48,7 @@
         """Whether a check of that member is made here now, and how long to rest at least until the next."""
         scope = self._scope_of(member_number)
         now_us = self._now()
-        if self._coordinator.leases.held_token(now_us, scope):
+        if self._machine.leases.held_token(now_us, scope):
             return CheckAssignment(True, 0)
         if self._follower.is_fresh(now_us, scope):
             return CheckAssignment(False, interval_us)
@@ -57,12 +57,12 @@
     def check_ended(self, member_number: int) -> None:
         """A check of ours has ended: what changed is published at once."""
         scope = self._scope_of(member_number)
-        if self._coordinator.leases.held_token(self._now(), scope):
+        if self._machine.leases.held_token(self._now(), scope):
             self._collect(scope)
 
     def collect(self) -> None:
         """Collects the results of all shards that are held here."""
-        for scope in self._coordinator.leases.held_scopes(self._now()):
+        for scope in self._machine.leases.held_scopes(self._now()):
             if scope >= FIRST_CHECKS_SCOPE:
                 self._collect(scope)
 
--- a/rookbend/recovery/status.py
+++ b/rookbend/recovery/status.py
@@ -9,29 +9,29 @@
 from rookbend.recovery.startup_stages import Stage
 
 
-def fleet_status(coordinator: RecoveryMachine, now: int) -> dict[str, Any]:
+def fleet_status(machine: RecoveryMachine, now: int) -> dict[str, Any]:
     """This director and what it knows of the others; ages in milliseconds."""
-    identity = coordinator.identity
-    directors = [_own_row(coordinator, now)]
-    directors += [_peer_row(peer, now) for peer in coordinator.peers.rows.values()]
+    identity = machine.identity
+    directors = [_own_row(machine, now)]
+    directors += [_peer_row(peer, now) for peer in machine.peers.rows.values()]
     return {
         "directors": sorted(directors, key=lambda row: int(row["number"])),
         "me": identity.number,
-        "happened": coordinator.classifier.current.value,
-        "up": coordinator.peers.live_count(now),
+        "happened": machine.classifier.current.value,
+        "up": machine.peers.live_count(now),
     }
 
 
-def _own_row(coordinator: RecoveryMachine, now: int) -> dict[str, Any]:
-    identity = coordinator.identity
+def _own_row(machine: RecoveryMachine, now: int) -> dict[str, Any]:
+    identity = machine.identity
     return {
         "number": identity.number,
         "boot": identity.boot_number,
-        "phase": coordinator.admission.phase.name.lower(),
-        "stage": coordinator.sequence.stage.name.lower(),
+        "phase": machine.admission.phase.name.lower(),
+        "stage": machine.sequence.stage.name.lower(),
         "age_ms": (now - identity.began_us) // 1000,
         "heard_ms": 0,
-        "missing": coordinator.sequence.waits_for,
+        "missing": machine.sequence.waits_for,
         "doubted": "",
     }
 
@@ -50,12 +50,12 @@
     }
 
 
-def recovery_status(coordinator: RecoveryMachine, now: int) -> dict[str, Any]:
+def recovery_status(machine: RecoveryMachine, now: int) -> dict[str, Any]:
     """Why this director is in its stage, and what it waits for."""
-    conditions = coordinator.admission.conditions(now)
-    sequence = coordinator.sequence
-    fleet_rate = coordinator.ramp.fleet_rate
-    limits = coordinator.admission.limits
+    conditions = machine.admission.conditions(now)
+    sequence = machine.sequence
+    fleet_rate = machine.ramp.fleet_rate
+    limits = machine.admission.limits
     return {
         "stage": sequence.stage.name.lower(),
         "for_ms": (now - sequence.entered_us) // 1000,
@@ -64,15 +64,15 @@
         "happened": conditions.failure_class.value,
         "up_share": round(conditions.live_ratio, 3),
         "origin_bad": round(conditions.origin_failure_ratio, 3),
-        "gap": coordinator.missed_purges.covered_by or "open",
+        "gap": machine.missed_purges.covered_by or "open",
         "fleet_rate": None if fleet_rate is None else round(fleet_rate, 2),
         "our_rate": limits.origin_rate if limits else None,
         "closed": sorted(limits.closed_classes) if limits else [],
-        "drains": sorted(coordinator.membership.drained_since_us),
-        "digests": {name: rows.digest for name, rows in coordinator.rows.by_name.items()},
-        "boot": coordinator.identity.boot_number,
-        "revision": coordinator.membership.revision,
-        "refused": dict(coordinator.peers.rejected),
-        "unreadable": coordinator.receiver.unreadable,
-        "silenced": coordinator.actions.suppressed,
+        "drains": sorted(machine.membership.drained_since_us),
+        "digests": {name: rows.digest for name, rows in machine.rows.by_name.items()},
+        "boot": machine.identity.boot_number,
+        "revision": machine.membership.revision,
+        "refused": dict(machine.peers.rejected),
+        "unreadable": machine.receiver.unreadable,
+        "silenced": machine.actions.suppressed,
     }
--- a/rookbend/testing/lease_simulation.py
+++ b/rookbend/testing/lease_simulation.py
@@ -1,4 +1,4 @@
-"""A fleet of lease coordinators in simulated time: the program's own, up to hundreds of them. Seeded.
+"""A fleet of lease machines in simulated time: the program's own, up to hundreds of them. Seeded.
 
 Datagrams are lost, late or doubled, links are cut one way or both, clocks run fast and slow, storage is lost or fails,
 directors freeze, and a ledger takes the report's lines by token. Each director's clock is simulated time times its
@@ -89,7 +89,7 @@
     def start(self, *numbers: int) -> None:
         """Starts those that are down, all without numbers."""
         for number in numbers or range(self.count):
-            if self.directors[number].coordinator is None:
+            if self.directors[number].machine is None:
                 self._start(self.directors[number])
 
     def _start(self, director: SimulatedDirector) -> None:
@@ -98,20 +98,20 @@
         shape = director.number, self.count, "sim", self.seed, self.voters
         config = LeaseConfig(*shape, LeaseTerms(), self.tasks, self.shards, self.report_period_us)
         rows = tuple((kind, key, value) for (kind, key), value in director.storage.items())
-        coordinator = LeaseMachine(config, self.clock(director), incarnation, rows)
-        director.coordinator = coordinator
+        machine = LeaseMachine(config, self.clock(director), incarnation, rows)
+        director.machine = machine
         director.applied_orders = []
         director.order_outcomes = {}
-        self._carry_out(director, coordinator.begin(self.clock(director)))
+        self._carry_out(director, machine.begin(self.clock(director)))
         delay_us = int(self.random.random() * MAX_START_DELAY_US)
-        self.schedule.after(delay_us, self._timer_expired, director, coordinator)
-        self.schedule.after(0, self._poll_liveness, director, coordinator)
+        self.schedule.after(delay_us, self._timer_expired, director, machine)
+        self.schedule.after(0, self._poll_liveness, director, machine)
 
     def kill(self, *numbers: int) -> None:
         """Stops these at once."""
         for number in numbers:
             director = self.directors[number]
-            director.coordinator = None
+            director.machine = None
             director.frozen = False
             director.delayed_events = []
 
@@ -125,44 +125,42 @@
             for event in delayed:
                 self.feed(director, event)
 
-    def _timer_expired(self, director: SimulatedDirector, coordinator: LeaseMachine) -> None:
-        if director.coordinator is not coordinator:
+    def _timer_expired(self, director: SimulatedDirector, machine: LeaseMachine) -> None:
+        if director.machine is not machine:
             return
         if not director.frozen:
             self.feed(director, TimerExpired())
-        wait_us = max(LEAST_TIMER_US, coordinator.due_us - self.clock(director))
-        self.schedule.after(wait_us, self._timer_expired, director, coordinator)
+        wait_us = max(LEAST_TIMER_US, machine.due_us - self.clock(director))
+        self.schedule.after(wait_us, self._timer_expired, director, machine)
 
-    def _poll_liveness(self, director: SimulatedDirector, coordinator: LeaseMachine) -> None:
+    def _poll_liveness(self, director: SimulatedDirector, machine: LeaseMachine) -> None:
         """Who is up, as recovery's gossip reports it: a little late, and not across a cut link."""
-        if director.coordinator is not coordinator:
+        if director.machine is not machine:
             return
         if not director.frozen:
             live = frozenset(peer.number for peer in self.directors if self._hears(director, peer))
             event = events.LiveDirectorsChanged(live)
-            self.schedule.after(LIVENESS_DELAY_US, self._feed_incarnation, director, coordinator, event)
-        self.schedule.after(POLL_INTERVAL_US, self._poll_liveness, director, coordinator)
+            self.schedule.after(LIVENESS_DELAY_US, self._feed_incarnation, director, machine, event)
+        self.schedule.after(POLL_INTERVAL_US, self._poll_liveness, director, machine)
 
     def _hears(self, director: SimulatedDirector, peer: SimulatedDirector) -> bool:
         if peer is director:
             return True
-        is_up = peer.coordinator is not None and not peer.frozen
+        is_up = peer.machine is not None and not peer.frozen
         return is_up and (peer.number, director.number) not in self.network.cut_links
 
-    def _feed_incarnation(
-        self, director: SimulatedDirector, coordinator: LeaseMachine | None, event: events.Event
-    ) -> None:
-        if director.coordinator is coordinator:
+    def _feed_incarnation(self, director: SimulatedDirector, machine: LeaseMachine | None, event: events.Event) -> None:
+        if director.machine is machine:
             self.feed(director, event)
 
     def feed(self, director: SimulatedDirector, event: events.Event) -> None:
         """Feeds an event, at once or when the director goes on."""
-        if director.coordinator is None:
+        if director.machine is None:
             return
         if director.frozen:
             director.delayed_events.append(event)
             return
-        self._carry_out(director, director.coordinator.feed(self.clock(director), event))
+        self._carry_out(director, director.machine.feed(self.clock(director), event))
 
     def order(self, number: int, target: str, order: str) -> int:
         """An operator's order at that director; its id."""
@@ -203,14 +201,14 @@
             director.storage[row.kind, row.key] = row.value
         if row.awaited:
             event = events.RowPersisted(row.kind, row.key, durable)
-            self.schedule.after(STORAGE_DELAY_US, self._feed_incarnation, director, director.coordinator, event)
+            self.schedule.after(STORAGE_DELAY_US, self._feed_incarnation, director, director.machine, event)
 
     def _delete_row(self, director: SimulatedDirector, row: DeleteRow) -> None:
         director.storage.pop((row.kind, row.key), None)
 
     def _lease_acquired(self, director: SimulatedDirector, action: actions.LeaseAcquired) -> None:
-        assert director.coordinator is not None
-        self.invariants.lease_acquired(action, Holder(director.number, director.coordinator.incarnation))
+        assert director.machine is not None
+        self.invariants.lease_acquired(action, Holder(director.number, director.machine.incarnation))
         self.check()
 
     def _complete_order(self, director: SimulatedDirector, action: actions.CompleteOrder) -> None:
@@ -222,8 +220,8 @@
     def _write_report_line(self, director: SimulatedDirector, line: actions.WriteReportLine) -> None:
         # The line is in the socket's buffer: it arrives whenever the network likes.
         delay_us = int(self.random.random() * MAX_LEDGER_DELAY_US)
-        coordinator = director.coordinator
-        self.schedule.after(delay_us, lambda: self._feed_incarnation(director, coordinator, self.ledger.append(line)))
+        machine = director.machine
+        self.schedule.after(delay_us, lambda: self._feed_incarnation(director, machine, self.ledger.append(line)))
 
     # Invariants
 
@@ -232,7 +230,7 @@
         return [
             director.number
             for director in self.directors
-            if director.coordinator is not None and director.coordinator.leases.held_token(self.clock(director), scope)
+            if director.machine is not None and director.machine.leases.held_token(self.clock(director), scope)
         ]
 
     def scopes(self) -> tuple[int, ...]:
--- a/rookbend/testing/lease_simulation_parts.py
+++ b/rookbend/testing/lease_simulation_parts.py
@@ -18,14 +18,14 @@
 
 @dataclass
 class SimulatedDirector:
-    """One director; `coordinator` is None while it is down. What is counted is of its current incarnation."""
+    """One director; `machine` is None while it is down. What is counted is of its current incarnation."""
 
     number: int
     clock_rate: float = 1.0
     clock_step_us: int = 0  # by which its clock was set at its last start
     storage: dict[tuple[str, str], bytes] = field(default_factory=dict)
     storage_fails: bool = False
-    coordinator: LeaseMachine | None = None
+    machine: LeaseMachine | None = None
     starts: int = 0
     frozen: bool = False
     delayed_events: list[events.Event] = field(default_factory=list)  # while frozen
--- a/tests/test_leases_any_faults.py
+++ b/tests/test_leases_any_faults.py
@@ -11,7 +11,7 @@
 
 def consistent(sim):
     """Orders took effect in one order, each once."""
-    lists = sorted((n.applied_orders for n in sim.directors if n.coordinator is not None), key=len)
+    lists = sorted((n.applied_orders for n in sim.directors if n.machine is not None), key=len)
     for shorter, longer in zip(lists, lists[1:], strict=False):
         assert longer[: len(shorter)] == shorter
     if lists:
--- a/tests/test_leases_fleet.py
+++ b/tests/test_leases_fleet.py
@@ -81,7 +81,7 @@
 def test_a_successor_that_dies_with_the_hand_over_leaves_no_scope_behind():
     sim = fleet(5, seed=6)
     owner = sim.holders(CHECKS)[0]
-    heir = next(p for p in sim.directors[owner].coordinator.parts.placement.ranking(CHECKS) if p != owner)
+    heir = next(p for p in sim.directors[owner].machine.parts.placement.ranking(CHECKS) if p != owner)
     sim.kill(heir)
     sim.feed(sim.directors[owner], events.ShutdownRequested())
     sim.kill(owner)
@@ -124,7 +124,7 @@
         sim.feed(sim.directors[number], events.VotersChanged(new))
     sim.run(10 * SECOND_US)
     assert not sim.violations and not sim.leaderless_scopes()
-    assert all(n.coordinator.parts.voters.quorums == (new,) for n in sim.directors)
+    assert all(n.machine.parts.voters.quorums == (new,) for n in sim.directors)
     sim.kill(0, 1, 2)
     sim.run(10 * SECOND_US)
     assert not sim.leaderless_scopes(), "the new voters alone are enough now"
@@ -147,7 +147,7 @@
 def test_a_liar_among_the_voters_can_make_two_owners_but_no_receiver_takes_the_older():
     """What holds and what does not where a voter says yes to everybody: docs/OWNERSHIP.md."""
     sim = fleet(3, seed=11)
-    liar = sim.directors[2].coordinator.parts.voter
+    liar = sim.directors[2].machine.parts.voter
     honest = type(liar).request
 
     class Liar(type(liar)):
@@ -167,7 +167,7 @@
 
 def test_bytes_that_can_t_be_are_counted_and_change_nothing():
     sim = fleet(3, seed=12)
-    m = sim.directors[0].coordinator
+    m = sim.directors[0].machine
     fleet_hash = m.parts.messenger.header[0]
     before, now = m.describe(sim.clock(sim.directors[0])), sim.clock(sim.directors[0])
     good = wire.encode(messages.LeaseRelease(fleet_hash, 1, 5, ((0, 1, -1),)))
