--- a/rookbend/testing/cluster/faults.py
+++ b/rookbend/testing/cluster/faults.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import trio
 
@@ -101,32 +101,47 @@
                 await self._step(step)
 
     async def _step(self, step: fault_timeline.Step) -> None:
-        kind, part, begins = step.fault.kind, step.target, step.begins
-        if kind in ("power", "kill"):
-            if begins:
-                self.power_off(part)
-            else:
-                await self.power_on(part)
-        elif kind == "freeze":
-            (self.freeze if begins else self.thaw)(part)
-        elif kind == "vanish":
-            self.vanish(part, begins)
-        elif kind == "cut-between":
-            (self.cut if begins else self.heal)(*part.split(">"))
-        elif kind == "clock":
-            ahead = step.fault.by_us / 1e6 * (-1 if step.fault.back else 1)
-            self.nodes[part].set_clock(ahead if begins else 0.0)
-        elif kind == "disk":
-            self.nodes[part].set_disk(step.fault.says if begins else "")
-        elif kind == "drop":
-            for other in self.names:
-                self.ways.get(part, other).set(loss=step.fault.share if begins else 0.0)
-        elif kind == "cut":
-            self.coordinator.go() if begins else self.coordinator.back()
-        elif kind in ("term", "hup"):
-            if begins:
-                self.nodes[part].signal(signal.SIGTERM if kind == "term" else signal.SIGHUP)
-            elif kind == "term":
-                await self.power_on(part)
-        else:
-            raise ValueError(f"the stage does not play {kind}")
+        """Begins or ends one fault."""
+        play = self._players().get(step.fault.kind)
+        if play is None:
+            raise ValueError(f"the stage does not play {step.fault.kind}")
+        done = play(step)
+        if done is not None:
+            await done
+
+    def _players(self) -> dict[str, Callable[[fault_timeline.Step], Awaitable[None] | None]]:
+        """What plays each kind of fault."""
+        return {
+            "power": self._play_power,
+            "kill": self._play_power,
+            "freeze": lambda step: (self.freeze if step.begins else self.thaw)(step.target),
+            "vanish": lambda step: self.vanish(step.target, step.begins),
+            "cut-between": lambda step: (self.cut if step.begins else self.heal)(*step.target.split(">")),
+            "clock": self._play_clock,
+            "disk": lambda step: self.nodes[step.target].set_disk(step.fault.says if step.begins else ""),
+            "drop": self._play_loss,
+            "cut": lambda step: self.coordinator.go() if step.begins else self.coordinator.back(),
+            "term": self._play_stop,
+            "hup": self._play_reload,
+        }
+
+    def _play_power(self, step: fault_timeline.Step) -> Awaitable[None] | None:
+        return self.power_off(step.target) if step.begins else self.power_on(step.target)
+
+    def _play_clock(self, step: fault_timeline.Step) -> None:
+        ahead_s = step.fault.by_us / 1e6 * (-1 if step.fault.back else 1)
+        self.nodes[step.target].set_clock(ahead_s if step.begins else 0.0)
+
+    def _play_loss(self, step: fault_timeline.Step) -> None:
+        for other in self.names:
+            self.ways.get(step.target, other).set(loss=step.fault.share if step.begins else 0.0)
+
+    def _play_stop(self, step: fault_timeline.Step) -> Awaitable[None] | None:
+        if not step.begins:
+            return self.power_on(step.target)
+        self.nodes[step.target].signal(signal.SIGTERM)
+        return None
+
+    def _play_reload(self, step: fault_timeline.Step) -> None:
+        if step.begins:
+            self.nodes[step.target].signal(signal.SIGHUP)
