One order on what is no scope ends no director, and no later start of one

What callers saw: POST /orders for the fleet on a member called "@checks/²" or "@orders/x" ended the directors that committed it; they could not be started again, since orders are applied from the disk. POST /owners with such a scope ended the director asked. Cause: parse_scope gave int what str.isdigit accepts ("²"), or any text behind a task without shards: ValueError where callers expect UnknownTaskError. A log that holds such an order is applied without effect.

--- a/rookbend/components/admin.py
+++ b/rookbend/components/admin.py
@@ -11,8 +11,10 @@
 from rookbend.net.component import Component, ComponentContext
 from rookbend.net.http_server import serve_http
 from rookbend.protocol.admin_api import AdminApi, CommandResult
+from rookbend.protocol.order_limits import SCOPE_PREFIX
 
 OK = 200
+BAD_REQUEST = 400
 NOT_FOUND = 404
 CONFLICT = 409
 SERVICE_UNAVAILABLE = 503
@@ -64,6 +66,8 @@
     async def _give_to_fleet(self, member: str, order: Order, by: str) -> CommandResult:
         if self._ownership is None:
             return CommandResult(CONFLICT, "[ownership] is off: no orders for the whole fleet")
+        if member.startswith(SCOPE_PREFIX):
+            return CommandResult(BAD_REQUEST, f"`member` begins with {SCOPE_PREFIX}, as scopes do: pin them")
         fault = await self._ownership.order(member, order.value, by)
         if fault:
             return CommandResult(SERVICE_UNAVAILABLE, f"the order on {member}: {fault}")
--- a/rookbend/leases/leader_tasks.py
+++ b/rookbend/leases/leader_tasks.py
@@ -16,6 +16,8 @@
 from enum import Enum
 from hashlib import blake2b
 
+from rookbend.core.decimal_text import is_decimal
+
 ORDERS_SCOPE = 0
 RAMP_ALLOCATION_SCOPE = 1
 REPORT_SCOPE = 2
@@ -126,7 +128,7 @@
     """The scope that `scope_name` gives that name. Raises UnknownTaskError."""
     task_name, _, shard = name.partition("/")
     task = leader_task(task_name)
-    if task.sharded != shard.isdigit() or task.scope < 0:
+    if task.scope < 0 or (not is_decimal(shard) if task.sharded else name != task_name):
         raise UnknownTaskError(name)
     return task.scope + int(shard or 0)
 
--- a/rookbend/leases/order_store.py
+++ b/rookbend/leases/order_store.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from rookbend.coordination.action_queue import ActionQueue
+from rookbend.core.decimal_text import is_decimal
 from rookbend.leases.actions import Action, ApplyOrder
 from rookbend.leases.leader_tasks import UnknownTaskError, parse_scope
 from rookbend.leases.order_log import OrderLog
 from rookbend.leases.rebalancing import ScopePlacement
 from rookbend.leases.state import committed_row, delete_entry, entry_row
 from rookbend.protocol.lease_messages import Entry
+from rookbend.protocol.order_limits import SCOPE_PREFIX
 
 PIN_PREFIX = "pin "  # an order on a scope in place of a member: `@checks/3`
-SCOPE_PREFIX = "@"
 
 
 class OrderStore:
@@ -56,7 +57,7 @@
         except UnknownTaskError:
             return
         director = order.removeprefix(PIN_PREFIX)
-        if order.startswith(PIN_PREFIX) and director.isdigit():
+        if order.startswith(PIN_PREFIX) and is_decimal(director):
             self._placement.pin(scope, int(director))
         else:
             self._placement.unpin(scope)
--- a/rookbend/net/fleet_orders.py
+++ b/rookbend/net/fleet_orders.py
@@ -11,7 +11,8 @@
 from rookbend.leases.events import MoveRequested, OrderRequested
 from rookbend.leases.leader_tasks import UnknownTaskError, parse_scope
 from rookbend.leases.machine import LeaseMachine
-from rookbend.leases.order_store import PIN_PREFIX, SCOPE_PREFIX
+from rookbend.leases.order_store import PIN_PREFIX
+from rookbend.protocol.order_limits import SCOPE_PREFIX
 
 
 class PendingOutcome:
--- a/rookbend/net/report_writer.py
+++ b/rookbend/net/report_writer.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from rookbend.core.decimal_text import is_decimal
 from rookbend.leases.actions import WriteReportLine
 from rookbend.leases.events import ReportLineWritten
 from rookbend.leases.leader_tasks import REPORT_SCOPE
@@ -96,7 +97,7 @@
                     raise ConnectionError("the ledger closed the connection")
                 reply += data
         words = reply.decode("ascii", "replace").split()
-        if words[:1] == ["old"] and len(words) == 2 and words[1].isdigit():
+        if words[:1] == ["old"] and len(words) == 2 and is_decimal(words[1]):
             return False, int(words[1])
         return words[:1] in (["ok"], ["have"]), 0
 
--- a/rookbend/protocol/event_stream.py
+++ b/rookbend/protocol/event_stream.py
@@ -7,6 +7,7 @@
 import h11
 import msgspec
 
+from rookbend.core.decimal_text import is_decimal
 from rookbend.protocol.coordinator_stream import StreamError, Update
 
 MAX_EVENT_BYTES = 4 << 20
@@ -82,7 +83,7 @@
         for line in lines:
             if line.startswith(DATA_FIELD):
                 self._event_data.append(line[len(DATA_FIELD) :].removeprefix(b" "))
-            elif line.startswith(ID_FIELD) and line[len(ID_FIELD) :].strip().isdigit():
+            elif line.startswith(ID_FIELD) and is_decimal(line[len(ID_FIELD) :].strip()):
                 self._event_index = int(line[len(ID_FIELD) :])
             elif not line and self._event_data:
                 items.append(self._end_event())
--- a/rookbend/protocol/order_limits.py
+++ b/rookbend/protocol/order_limits.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+SCOPE_PREFIX = "@"  # a target that begins so is a scope, not a member
 MAX_TARGET_BYTES = 72  # a member, or a scope
 MAX_ORDER_BYTES = 16
 MAX_OPERATOR_BYTES = 40
--- a/rookbend/recovery/director_orders.py
+++ b/rookbend/recovery/director_orders.py
@@ -4,6 +4,7 @@
 
 from rookbend.coordination.action_queue import ActionQueue
 from rookbend.coordination.actions import PersistRow
+from rookbend.core.decimal_text import is_decimal
 from rookbend.recovery.actions import Action, ApplyOrder
 from rookbend.recovery.config import LocalIdentity
 from rookbend.recovery.replicated_rows import ORDER, OrderValue, ReplicatedRows, encode_value
@@ -66,7 +67,7 @@
         """Persists a peer's row that is newer, and applies it if it is this director's own. Raises
         MalformedOrderKeyError."""
         owner, _, member = key.partition("/")
-        if not owner.isdigit() or int(owner) >= self._director_count or not member:
+        if not is_decimal(owner) or int(owner) >= self._director_count or not member:
             raise MalformedOrderKeyError(key)
         if self._rows.put(key, data):
             self._actions.append(PersistRow(ORDER.name, key, data))
--- /dev/null
+++ b/tests/test_order_targets.py
@@ -0,0 +1,80 @@
+"""What an order may be on: a text that is no scope, number or member ends no director, nor its next start."""
+
+import pytest
+import trio
+
+from rookbend.components.admin import MemberOrders
+from rookbend.core.decimal_text import is_decimal
+from rookbend.health.model import Order
+from rookbend.leases.leader_tasks import UnknownTaskError, parse_scope
+from rookbend.protocol.event_stream import EventStream
+from rookbend.recovery.director_orders import DirectorOrders, MalformedOrderKeyError
+from rookbend.testing.lease_simulation import LeaseSimulation
+from rookbend.testing.lease_simulation_parts import SECOND_US
+
+NO_SCOPES = (
+    "checks/\u00b2",
+    "checks/x",
+    "checks/",
+    "checks",
+    "checks/" + "9" * 60,
+    "orders/x",
+    "orders/",
+    "orders/1",
+    "",
+    "/",
+)
+
+
+@pytest.mark.parametrize("name", NO_SCOPES)
+def test_a_name_that_is_no_scope_is_an_unknown_task(name):
+    with pytest.raises(UnknownTaskError):
+        parse_scope(name)
+
+
+@pytest.mark.parametrize("target", [f"@{name}" for name in NO_SCOPES])
+@pytest.mark.parametrize("order", ["drain", "pin 1", "pin \u00b2"])
+def test_an_order_on_what_is_no_scope_ends_no_director_and_no_later_start(target, order):
+    # Guards against one order that every director of the fleet stores, and that none can be started with again.
+    sim = LeaseSimulation(4)
+    sim.start()
+    sim.run(10 * SECOND_US)
+    sim.order(1, target, order)
+    sim.run(5 * SECOND_US)
+    sim.kill(0, 1, 2, 3)
+    sim.start()
+    sim.run(10 * SECOND_US)
+    assert not sim.leaderless_scopes() and not sim.violations
+
+
+def test_an_order_on_a_member_whose_name_begins_as_scopes_do_is_refused():
+    given = MemberOrders(None, None, object()).give("@checks/1", Order.DRAIN, "kim", True)
+
+    async def main():
+        return await given
+
+    status, error = trio.run(main)
+    assert status == 400 and "`member` begins with @" in error
+
+
+@pytest.mark.parametrize("text, number", [("0", True), ("12", True), (b"12", True), ("", False), ("-1", False)])
+def test_what_counts_as_a_number(text, number):
+    assert is_decimal(text) == number
+
+
+@pytest.mark.parametrize("text", ["\u00b2", "\u0663", "1\n", "9" * 5000])
+def test_digits_that_int_refuses_or_reads_otherwise_are_no_number(text):
+    assert not is_decimal(text)
+
+
+def test_an_event_number_of_thousands_of_digits_is_none():
+    stream = EventStream("h", "/", 0)
+    stream.start()
+    data = b"id: " + b"9" * 5000 + b"\ndata: {}\n\n"
+    stream.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(data), data))
+
+
+def test_a_peers_order_of_a_director_that_is_no_number_is_malformed():
+    orders = DirectorOrders(None, 5, None, None)
+    with pytest.raises(MalformedOrderKeyError):
+        orders.add_peers_order("\u00b2/c1", b"")
