An order that this version does not know is logged and left out

What callers saw: nothing yet; a peer's order with an unknown word ended a director when it was applied, and at each start from its disk. Cause: the driver gave the word to Order(), whose ValueError nobody expects; the doors check it, peers' rows and logs were not. Change: RecoveryComponent.apply_order logs order_unknown and goes on. Result: the new test failed before (ValueError ended the director) and passes; 55 tests of order targets and layout pass.

--- a/rookbend/net/recovery.py
+++ b/rookbend/net/recovery.py
@@ -152,7 +152,13 @@
         self.engine.purged(action.purge)
 
     def apply_order(self, action: ApplyOrder) -> None:
-        """Applies an order to a member, at once or when the member is added."""
+        """Applies an order to a member, at once or when the member is added. One that a peer or a disk has and this
+        version does not know is logged and left out."""
+        from rookbend.health.model import Order
+
+        if action.order not in {order.value for order in Order}:
+            self.log("order_unknown", "warning", member=action.member, order=action.order, by=action.requested_by)
+            return
         self._orders_to_apply[action.member] = action
         self._apply_pending_order(action.member)
 
--- a/tests/test_order_targets.py
+++ b/tests/test_order_targets.py
@@ -8,9 +8,11 @@
 from rookbend.health.model import Order
 from rookbend.leases.leader_tasks import UnknownTaskError, parse_scope
 from rookbend.protocol.event_stream import EventStream
+from rookbend.recovery.actions import ApplyOrder
 from rookbend.recovery.director_orders import DirectorOrders, MalformedOrderKeyError
 from rookbend.testing.lease_simulation import LeaseSimulation
 from rookbend.testing.lease_simulation_parts import SECOND_US
+from tests.director_scenario import on_stage
 
 NO_SCOPES = (
     "checks/\u00b2",
@@ -78,3 +80,16 @@
     orders = DirectorOrders(None, 5, None, None)
     with pytest.raises(MalformedOrderKeyError):
         orders.add_peers_order("\u00b2/c1", b"")
+
+
+def test_an_order_that_this_version_does_not_know_has_no_effect(capsys):
+    # Guards against a peer's order that ends a director when it is applied, and at each start from its disk.
+    async def steps(stage):
+        recovery = stage.service.context.built["recovery"]
+        recovery.apply_order(ApplyOrder("cache1", "explode", "kim"))
+        recovery.apply_order(ApplyOrder("cache1", "drain", "kim"))
+        await stage.until("cache1", "draining")
+
+    on_stage(steps, operators="[recovery]\n fleet f1\n[health]\n")
+    (line,) = [line for line in capsys.readouterr().err.splitlines() if "event=order_unknown" in line]
+    assert "order=explode" in line and "member=cache1" in line
