Lying peer: values that travel as bytes are changed inside too

Cause: rows of gossip hold msgpack in bytes, which the changes replaced only whole. Change: they are decoded, changed and encoded again.

--- a/rookbend/testing/lying_peer.py
+++ b/rookbend/testing/lying_peer.py
@@ -41,16 +41,35 @@
         return generator.choice(TEXTS)
     if isinstance(old, list):
         return old * generator.choice((0, 2, 3))
+    if isinstance(old, bytes) and choice < 0.8:
+        return _change_nested(generator, old)
     return generator.choice(OTHERS)
 
 
+def _change_nested(generator: random.Random, data: bytes) -> bytes:
+    """The same for a value that travels as bytes."""
+    try:
+        message = msgspec.msgpack.decode(data)
+    except msgspec.MsgspecError:
+        return generator.randbytes(len(data))
+    return msgspec.msgpack.encode(_change_message(generator, message))
+
+
+def _change_message(generator: random.Random, message: Any) -> Any:
+    paths = [path for path in _paths(message) if path]
+    if not paths:
+        return _replacement(generator, message)
+    *parents, last = generator.choice(paths)
+    holder = message
+    for index in parents:
+        holder = holder[index]
+    holder[last] = _replacement(generator, holder[last])
+    return message
+
+
 def change(generator: random.Random, data: bytes) -> bytes:
     """The datagram with one to three values replaced: borders, near ones, other types, lists of other lengths."""
     message = msgspec.msgpack.decode(data[MAGIC_BYTES:])
     for _ in range(generator.randint(1, MOST_CHANGES)):
-        *parents, last = generator.choice([path for path in _paths(message) if path])
-        holder = message
-        for index in parents:
-            holder = holder[index]
-        holder[last] = _replacement(generator, holder[last])
+        message = _change_message(generator, message)
     return (data[:MAGIC_BYTES] + msgspec.msgpack.encode(message))[:MAX_DATAGRAM_BYTES]
