A SIGHUP or SIGUSR1 behind the drain no longer ends a director by that signal

What operators saw: a planned restart whose exit code was that of SIGHUP instead of 0, where one came while the process ended. Cause: behind the block in which the service receives signals the default action was restored, which ends the process. Change: serve ignores both from its first moment; this is what is restored.

--- a/rookbend/cli/startup_signals.py
+++ b/rookbend/cli/startup_signals.py
@@ -6,6 +6,7 @@
 from types import FrameType
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SERVICE_SIGNALS = (signal.SIGHUP, signal.SIGUSR1)  # of use to a service alone; by default they end the process
 
 
 class StartupSignals:
@@ -19,8 +20,11 @@
         self.armed = False
 
     def arm(self) -> None:
-        """Exits at a stop signal from now on."""
+        """Exits at a stop signal from now on. The others are ignored where the service does not receive them: before
+        it does, and again behind it, when what was in force here is restored."""
         self.armed = True
+        for number in SERVICE_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
         for number in STOP_SIGNALS:
             signal.signal(number, self._on_signal)
 
--- /dev/null
+++ b/tests/test_late_signals_processes.py
@@ -0,0 +1,27 @@
+"""Signals that reach a director while it ends: its exit code stays 0."""
+
+import signal
+
+import pytest
+import trio
+
+from rookbend.testing.cluster import stage
+
+EVERY_S = 0.001
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT])
+def test_a_signal_at_any_moment_of_the_end_changes_no_exit_code(number):
+    # Guards against a SIGHUP after the drain, which ended the process by that signal.
+    async def main():
+        async with stage(directors=1, caches=1) as scene:
+            await scene.start()
+            await scene.admitted()
+            node = scene.nodes["n0"]
+            node.signal(signal.SIGTERM)
+            while node.running:
+                node.process.send_signal(number)
+                await trio.sleep(EVERY_S)
+            assert await node.ended() == 0
+
+    trio.run(main)
