Soak: a request that crosses the close at the end of the grace may be lost

Its trace: the director's drain began with the signal and its grace ended 0.7 s later, 13 ms after the request was sent; it closed the idle connection then, and the request crossed the close. Change: a request sent in the last 50 ms of the grace may be lost.

--- a/rookbend/testing/cluster/soak.py
+++ b/rookbend/testing/cluster/soak.py
@@ -208,8 +208,9 @@
     def _may_be_lost(self, request: LostRequest) -> bool:
         if request.lost_us - request.sent_us <= CROSSING_US:
             return True
+        # At the end of its grace a director closes the connections without an open request.
         return any(
-            LATE_REQUEST_US <= request.sent_us - stopped_us <= KILL_AFTER_S * 1e6
+            LATE_REQUEST_US - CROSSING_US <= request.sent_us - stopped_us <= KILL_AFTER_S * 1e6
             for stopped_us in self.stopped_us[request.director]
         )
 
