--- a/rookbend/cli/fleet_leases.py
+++ b/rookbend/cli/fleet_leases.py
@@ -6,6 +6,7 @@
 from rookbend.cli.admin_client import JsonObject
 from rookbend.cli.errors import UsageError
 from rookbend.cli.tables import Rows, format_age_ms, format_table, print_json
+from rookbend.core.decimal_text import is_decimal
 
 HEADER = "SCOPE", "OWNER", "TOKEN", "UNTIL", "PINNED", "NEXT", "WITHOUT OWNER"
 UNPIN = "unpin"
@@ -38,7 +39,7 @@
 
 def _give_order(admin: str, order: str, operands: list[str]) -> None:
     operand_count = 1 if order == UNPIN else 2
-    if len(operands) != operand_count or not all(operand.isdigit() for operand in operands[1:]):
+    if len(operands) != operand_count or not all(is_decimal(operand) for operand in operands[1:]):
         raise UsageError(f"{order} needs a scope" + ("" if order == UNPIN else " and a place"))
     body: JsonObject = {"order": order, "scope": operands[0]}
     if order != UNPIN:
@@ -50,7 +51,7 @@
 def _read_table(admin: str, command: str, operands: list[str]) -> JsonObject:
     if command != WITHOUT:
         return admin_client.get(admin, "/owners")
-    if len(operands) != 1 or not operands[0].isdigit():
+    if len(operands) != 1 or not is_decimal(operands[0]):
         raise UsageError("without needs a director's place")
     return admin_client.post(admin, "/owners", {"order": WITHOUT, "place": int(operands[0])})
 
--- a/rookbend/testing/cluster/clients.py
+++ b/rookbend/testing/cluster/clients.py
@@ -15,7 +15,7 @@
 from rookbend.testing.cluster.relay import reset
 from rookbend.testing.cluster.shared_state import digest, group_of
 from rookbend.testing.cluster.traffic_classes import KINDS, Kind
-from rookbend.testing.cluster.workload import Line, LostRequest, Target, Wish
+from rookbend.testing.cluster.workload import Line, LostRequest, OpenRequest, Target, Wish
 from rookbend.testing.invariant_events import ClientClosed, RequestSent, ResponseReceived
 from rookbend.testing.open_loop_client import encode_frame
 from rookbend.testing.weighted_score import RequestOutcome, earned_weight
@@ -110,8 +110,8 @@
             pass
         finally:
             target.lines.remove(line)
-            for stream_number, (rid, wish) in line.open.items():
-                self.lost.append(LostRequest(target.name, line.sent_us[stream_number], now_us()))
+            for rid, wish, sent_us in line.open.values():
+                self.lost.append(LostRequest(target.name, sent_us, now_us()))
                 # The process, or the way to it, has gone: that it left them unanswered is no breach.
                 self.record.see(ClientClosed(now_us(), rid))
                 wish.verdicts.append("lost")
@@ -143,8 +143,7 @@
         if data[0] != 8:
             return  # 3: no new request here; the connection ends by itself
         stream, verdict = int.from_bytes(data[1:5], "big"), VERDICTS.get(data[5], "failed")
-        rid, wish = line.open.pop(stream, ("", None))
-        line.sent_us.pop(stream, None)
+        rid, wish, _ = line.open.pop(stream, ("", None, 0))
         fields, at = {}, 7
         for _ in range(data[6]):
             n = at + 1 + data[at]
@@ -186,7 +185,8 @@
             wish.verdicts.append("unsent")  # dead and not noticed, or full
             return self._again(wish, 0.5)
         line = min(lines, key=lambda held: len(held.open))
-        self._rid, line.last = self._rid + 1, line.last + 1
+        self._rid += 1
+        line.last += 1
         rid = f"{self.random.getrandbits(32):08x}{self._rid:08x}"
         fields = {
             "method": kind.worth.name,
@@ -196,10 +196,10 @@
             "chunk": str(wish.part),
             "tag": str(group_of(wish.key)),
         }
-        fields |= {"again": "1"} if wish.tries > 1 else {}
+        if wish.tries > 1:
+            fields["again"] = "1"
         now = now_us()
-        line.open[line.last] = rid, wish
-        line.sent_us[line.last] = now
+        line.open[line.last] = OpenRequest(rid, wish, now)
         self.record.see(
             RequestSent(
                 now, rid, target.name, kind.write, now + kind.deadline_us, (wish.key, wish.part), group_of(wish.key)
--- a/rookbend/testing/cluster/workload.py
+++ b/rookbend/testing/cluster/workload.py
@@ -22,6 +22,14 @@
     done_us: int = 0
 
 
+class OpenRequest(NamedTuple):
+    """A request that was sent and has no answer yet."""
+
+    rid: str
+    wish: Wish
+    sent_us: int
+
+
 class LostRequest(NamedTuple):
     """A request whose connection ended before its answer came."""
 
@@ -34,8 +42,8 @@
     """One connection of the front to a director."""
 
     def __init__(self, stream: trio.SocketStream):
-        self.stream, self.open = stream, {}  # stream number: (rid, wish)
-        self.sent_us: dict[int, int] = {}  # by stream number, while it is open
+        self.stream = stream
+        self.open: dict[int, OpenRequest] = {}  # by stream number
         self.last = 0
         self.closing = False  # the director takes nothing new on it
         self.queue: deque[bytes] = deque()
--- a/rookbend/testing/lying_peer.py
+++ b/rookbend/testing/lying_peer.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-MAGIC_BYTES = 3
-MAX_DATAGRAM_BYTES = 256
+from rookbend.protocol import gossip
+
+MAGIC_BYTES = len(gossip.MAGIC)  # as many as of the leases' protocol
 NUMBERS = (
     *(0, 1, -1, -2, 2, 3, 5, 7, 127, 255),
     *(1 << 16, (1 << 31) - 1, 1 << 32, 1 << 48, 1 << 61, (1 << 62) - 1, 1 << 62),
@@ -72,4 +73,4 @@
     message = msgspec.msgpack.decode(data[MAGIC_BYTES:])
     for _ in range(generator.randint(1, MOST_CHANGES)):
         message = _change_message(generator, message)
-    return (data[:MAGIC_BYTES] + msgspec.msgpack.encode(message))[:MAX_DATAGRAM_BYTES]
+    return (data[:MAGIC_BYTES] + msgspec.msgpack.encode(message))[: gossip.MAX_DATAGRAM_BYTES]
