--- a/review/standins.py
+++ b/review/standins.py
@@ -301,8 +301,9 @@
     def __init__(self, record: Record, coordinator: Coordinator, settings: dict | None = None, **config) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="rookbend-review-"))
-        with socket.socket() as probe:  # a free port; the director binds it right after
-            probe.bind(("127.0.0.1", 0))
+        pid = os.getpid()  # an address of this run's own, so that no other run takes the port before the director does
+        with socket.socket() as probe:
+            probe.bind((f"127.77.{pid // 250 % 250}.{pid % 250 + 1}", 0))
             self.address = probe.getsockname()
         self.config = {
             "name": "n0", "listen": "%s:%d" % self.address, "seed": "8c1f30d27a5be964",
@@ -374,6 +375,7 @@
         return await asyncio.wait_for(case(record, started), 110)
 
     code = UNUSABLE
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(UNUSABLE))  # so that the director ends as well
     try:
         broken = asyncio.run(limited())
         code = BROKEN if broken else HELD
