Log why a client's connection is ended, and how many requests were open on it

Change: the event `client_dropped` with the reason, the requests that were open, the time since the last byte or answer, the age of the unfinished frame and the unsent bytes; the counter `requests_dropped`. No behaviour is changed.

--- a/rookbend/core/counters.py
+++ b/rookbend/core/counters.py
@@ -42,6 +42,7 @@
     judgements: int = 0  # members whose state or weight was changed by health evidence
     clients: int = 0  # connections accepted
     clients_dropped: int = 0  # of these, closed for bad input or for reading too slowly
+    requests_dropped: int = 0  # open when the director ended their client's connection, so without an answer
     connects: int = 0  # connections opened to members
     garbage: int = 0  # connections to members closed for answers that can't be parsed
     peer_messages: int = 0
--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -183,8 +183,10 @@
         """Notifies the client to send no new request on this connection."""
         self.write(frames.write_goaway())
 
-    def connection_lost(self) -> None:
-        """Cancels all requests, since the connection has ended."""
+    def connection_lost(self) -> int:
+        """Cancels all requests, since the connection has ended; returns how many were open."""
         self._queued.clear()
-        for stream in list(self.open_streams):
+        streams = list(self.open_streams)
+        for stream in streams:
             self.front.engine.cancel(self.open_streams.pop(stream, None))
+        return len(streams)
--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -17,6 +17,7 @@
 from rookbend.core.counters import Counters
 from rookbend.fronts.platform import PlatformFront, PlatformSession
 from rookbend.net.buffered_socket import BufferedSocket, WriteScheduler, set_socket_options
+from rookbend.net.drop_reason import DropReason
 
 PAUSE_ABOVE_BYTES = 1 << 20  # unsent bytes above which new requests of the client wait until all are sent
 FINISH_TIMEOUT_US = 250_000  # from the director's close to dropping a connection that the client leaves open
@@ -103,8 +104,7 @@
             self.session.client_closed()
         self.session.paused = self.socket.backlog_bytes > PAUSE_ABOVE_BYTES
         if not self.session.feed(data):
-            self.owner.counters.clients_dropped += 1
-            self.finish()
+            self.drop(DropReason.INVALID_BYTES)
 
     def _drained(self) -> None:
         if not self.socket.broken:
@@ -116,16 +116,46 @@
         while (self.session.open_streams or sock.unsent_bytes) and not (sock.closed or sock.broken):
             await trio.sleep(FLUSH_POLL_S)
 
-    def finish_if_idle(self, timeout_us: int = FINISH_TIMEOUT_US) -> bool:
-        """Closes the connection of an idle client. If unread bytes have arrived, processes them instead and returns
-        False."""
+    def finish_if_idle(self, timeout_us: int = FINISH_TIMEOUT_US, reason: DropReason | None = None) -> bool:
+        """Closes the connection of an idle client, which counts as a drop if a `reason` is given. If unread bytes have
+        arrived, processes them instead and returns False."""
         if data := self.socket.receive_now():
             self._process(data)
             return False
         if not self.socket.eof_received:
+            if reason is not None:
+                self._count_drop(reason)
             self.finish(timeout_us)
         return True
 
+    def drop(self, reason: DropReason, timeout_us: int = FINISH_TIMEOUT_US) -> None:
+        """Ends the connection of a client that misbehaves; see `finish` for `timeout_us`."""
+        self._count_drop(reason)
+        self.finish(timeout_us)
+
+    def abort(self, reason: DropReason) -> None:
+        """Ends the connection at once, without its unsent answers."""
+        self._count_drop(reason)
+        self.socket.abort()
+
+    def _count_drop(self, reason: DropReason) -> None:
+        session, counters = self.session, self.owner.counters
+        open_requests = len(session.open_streams)
+        counters.clients_dropped += 1
+        counters.requests_dropped += open_requests
+        engine = self.owner.front.engine
+        now_us = engine.clock.now()
+        incomplete_since_us = session.partial_frame_since_us
+        engine.log(
+            "client_dropped",
+            "warning" if open_requests else "info",
+            reason=reason.value,
+            open_requests=open_requests,
+            inactive_ms=(now_us - session.last_activity_us) // 1000,
+            frame_age_ms=(now_us - incomplete_since_us) // 1000 if incomplete_since_us else None,
+            unsent_bytes=self.socket.unsent_bytes,
+        )
+
     def finish(self, timeout_us: int = FINISH_TIMEOUT_US) -> None:
         """Closes the sending side; `run` goes on until the client closes, for `timeout_us` at most."""
         if self.phase is ClientPhase.FINISHING:
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -11,6 +11,7 @@
 from rookbend.net.acceptor import accept
 from rookbend.net.buffered_socket import WriteScheduler
 from rookbend.net.client_connection import FINISH_TIMEOUT_US, ClientConnection, ClientPhase
+from rookbend.net.drop_reason import DropReason
 
 NEW_CLIENT_GRACE_US = 250_000  # a client that has sent nothing is not evicted for this long after its connect
 REAPER_PERIOD_S = 0.25
@@ -109,10 +110,9 @@
                 continue
             if client.session.partial_frame_since_us:
                 client.session.reject_connection()
-                client.finish()
-                self.counters.clients_dropped += 1
+                client.drop(DropReason.INCOMPLETE_FRAME)
             else:
-                self._evict(client, FINISH_TIMEOUT_US)
+                self._end_idle(client, DropReason.INACTIVE, FINISH_TIMEOUT_US)
 
     def _drop_stalled(self, stalled_since_s: float) -> None:
         """Drops clients that have read nothing since then, and the largest ones while the total exceeds the limit."""
@@ -122,13 +122,14 @@
             stalled = client.socket.backlog_bytes and client.socket.last_progress_s < stalled_since_s
             if stalled or total_bytes > self.max_unsent_bytes:
                 total_bytes -= client.buffered_bytes
-                self.counters.clients_dropped += 1
-                client.socket.abort()
+                client.abort(DropReason.STALLED_READER if stalled else DropReason.UNSENT_BYTES)
 
     def _evict(self, client: ClientConnection, timeout_us: int) -> bool:
+        return self._end_idle(client, DropReason.EVICTED, timeout_us)
+
+    def _end_idle(self, client: ClientConnection, reason: DropReason, timeout_us: int) -> bool:
         """Closes an idle client's connection; returns False if unread bytes have arrived on it."""
-        finished = client.finish_if_idle(timeout_us)
-        self.counters.clients_dropped += finished
+        finished = client.finish_if_idle(timeout_us, reason)
         if finished and not timeout_us:
             self.connection_closed(client)  # its task closes the socket within this turn of the event loop
         return finished
