No connection is ended for inactivity while a request is open on it

Cause: the time-out of an unfinished frame counted from the frame's first byte and looked neither at the open requests nor at whether bytes still arrived.

Evidence: `client_dropped reason=incomplete-frame open_requests=3`, 2.0 to 2.24 s after the frame's first byte and 4 to 48 ms after the last byte. The other hypotheses (stalled reader, eviction, invalid bytes) have reasons of their own and did not occur.

Change: `core/inactivity.py`, one rule: never while a request is open; else the limits count from the last byte or answer, within a frame 2 s, and 30 s from its first byte, so that a client that writes for ever costs bounded time, one descriptor and 64 KiB. For a new client where all places are taken, those that are writing a frame go last. It works because PROTOCOL lets a director close a connection with no open request only, and a request is open until its answer is written, its client cancels it or leaves.

--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -8,15 +8,19 @@
 from collections.abc import Callable
 
 from rookbend.core.engine import Engine
+from rookbend.core.inactivity import ConnectionActivity, InactivityLimits
 from rookbend.core.model import Answer, FinalOutcome, Request
 from rookbend.core.open_request import OpenRequest
 from rookbend.fronts.platform_request import read_request
 from rookbend.protocol import client_frames as frames
 
 MAX_OPEN_STREAMS = 32  # open requests on one connection
-FIRST_REQUEST_TIMEOUT_US = 2_000_000  # from the connect to the first complete frame
-FRAME_TIMEOUT_US = 2_000_000  # from the first byte of a frame to its last
-IDLE_TIMEOUT_US = 6_000_000  # with no request open; clients usually close after 4 s
+INACTIVITY_LIMITS = InactivityLimits(
+    first_message_us=2_000_000,
+    idle_us=6_000_000,  # clients usually close after 4 s
+    stall_us=2_000_000,
+    message_us=30_000_000,  # the longest request at 2 KiB/s
+)
 MAX_REJECTED_WHILE_PAUSED = 1000  # rejections to a client that reads no answers, until its connection is closed
 OVERLOAD_LAG_US = 250_000  # above this event loop lag new requests are rejected
 STATUS_CODES = {
@@ -45,24 +49,18 @@
         self.parser = frames.FrameParser()
         self.open_streams: dict[int, OpenRequest | None] = {}  # None where the engine has no request for the stream
         self.paused = False  # the client reads no answers: its requests are queued, its cancels are not
-        self.has_received_frame = False
-        self.partial_frame_since_us = 0  # 0 if the last frame is complete
-        self.last_activity_us = front.engine.clock.now()  # something was received or answered
+        self.activity = ConnectionActivity(INACTIVITY_LIMITS, front.engine.clock.now())
         self._client_closed = False  # the client has closed its side: new requests are rejected
         self._queued: dict[int, Request] = {}  # while paused, by stream
         self._rejected_while_paused = 0
 
     @property
-    def idle_deadline_us(self) -> int | None:
-        """When the connection is closed if nothing more is received; None if a request is open and no frame is partial.
+    def inactivity_deadline_us(self) -> int | None:
+        """When the connection is closed if nothing more is received; None while a request is open.
 
         Limits the descriptors and memory held by clients that send nothing, stop within a frame or never close.
         """
-        if self.partial_frame_since_us:
-            return self.partial_frame_since_us + FRAME_TIMEOUT_US
-        if self.open_streams:
-            return None
-        return self.last_activity_us + (IDLE_TIMEOUT_US if self.has_received_frame else FIRST_REQUEST_TIMEOUT_US)
+        return self.activity.deadline_us(bool(self.open_streams))
 
     @property
     def queued_bytes(self) -> int:
@@ -72,17 +70,12 @@
     def feed(self, data: bytes) -> bool:
         """Handles received bytes; returns False if the connection has to be closed."""
         is_valid = True
-        self.last_activity_us = now_us = self.front.engine.clock.now()
         try:
             received = self.parser.feed(data)
         except frames.FrameError as error:
             received = list(error.frames)
             is_valid = False
-        if received:
-            self.has_received_frame = True
-            self.partial_frame_since_us = 0
-        if self.parser.has_partial:
-            self.partial_frame_since_us = self.partial_frame_since_us or now_us
+        self.activity.received(self.front.engine.clock.now(), bool(received), self.parser.has_partial)
         for frame in received:
             if isinstance(frame, frames.RequestFrame):
                 if frame.stream in self.open_streams:
@@ -166,7 +159,7 @@
 
     def _answer(self, stream: int, answer: Answer) -> None:
         del self.open_streams[stream]
-        self.last_activity_us = self.front.engine.clock.now()
+        self.activity.answered(self.front.engine.clock.now())
         self._write_answer(stream, answer)
 
     def _write_answer(self, stream: int, answer: Answer) -> None:
--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -60,10 +60,10 @@
         return self.phase is ClientPhase.OPEN and not self.session.open_streams and not self.socket.unsent_bytes
 
     def has_expired(self, now_us: int) -> bool:
-        """Whether the client's idle timeout is over: it has sent nothing, or only a part of a frame."""
+        """Whether the client has been inactive for too long: it has sent nothing, or only a part of a frame."""
         if self.phase is not ClientPhase.OPEN or self.socket.unsent_bytes:
             return False
-        deadline_us = self.session.idle_deadline_us
+        deadline_us = self.session.inactivity_deadline_us
         return deadline_us is not None and deadline_us <= now_us
 
     @property
@@ -145,13 +145,13 @@
         counters.requests_dropped += open_requests
         engine = self.owner.front.engine
         now_us = engine.clock.now()
-        incomplete_since_us = session.partial_frame_since_us
+        incomplete_since_us = session.activity.message_since_us
         engine.log(
             "client_dropped",
             "warning" if open_requests else "info",
             reason=reason.value,
             open_requests=open_requests,
-            inactive_ms=(now_us - session.last_activity_us) // 1000,
+            inactive_ms=(now_us - session.activity.last_activity_us) // 1000,
             frame_age_ms=(now_us - incomplete_since_us) // 1000 if incomplete_since_us else None,
             unsent_bytes=self.socket.unsent_bytes,
         )
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -62,7 +62,7 @@
 
     def _make_capacity(self) -> bool:
         """Whether one more client can be accepted. When all places are taken, evicts idle clients: first those that
-        have sent nothing, then those that have been idle for longest.
+        have sent nothing, then those that have been idle for longest, and at last those that are writing a request.
 
         Hundreds of clients that only connect, or send one request and stay, must not keep active clients out. A
         client that has just connected is not evicted: it has sent nothing only because its first request is still
@@ -73,10 +73,10 @@
             return True
         new_clients_since_us = self.front.engine.clock.now() - NEW_CLIENT_GRACE_US
         idle = self._idle_clients(new_clients_since_us)
-        idle.sort(key=lambda client: (client.session.has_received_frame, client.session.last_activity_us))
+        idle.sort(key=lambda client: client.session.activity.eviction_order(new_clients_since_us))
         evicted = 0
         for client in idle[: max(1, self.max_clients // EVICTION_BATCH_DIVISOR)]:
-            if client.session.last_activity_us > new_clients_since_us:
+            if client.session.activity.last_activity_us > new_clients_since_us:
                 break
             # Idle for longer than the grace time: the last answer has been delivered, so the connection can be
             # closed at once without losing anything, and its place is free.
@@ -94,7 +94,10 @@
             client
             for client in self.open
             if client.is_idle()
-            and (client.session.has_received_frame or client.session.last_activity_us <= new_clients_since_us)
+            and (
+                client.session.activity.has_received_message
+                or client.session.activity.last_activity_us <= new_clients_since_us
+            )
         ]
 
     async def watch_clients(self) -> None:
@@ -108,7 +111,7 @@
         for client in list(self.open):
             if not client.has_expired(now_us):
                 continue
-            if client.session.partial_frame_since_us:
+            if client.session.activity.message_since_us:
                 client.session.reject_connection()
                 client.drop(DropReason.INCOMPLETE_FRAME)
             else:
