--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -124,6 +124,8 @@
             return False
         if not self.socket.eof_received:
             if reason is not None:
+                if reason is DropReason.INCOMPLETE_FRAME:
+                    self.session.reject_connection()
                 self._count_drop(reason)
             self.finish(timeout_us)
         return True
--- a/tests/test_open_requests_kept.py
+++ b/tests/test_open_requests_kept.py
@@ -1,9 +1,13 @@
 """A client's connection is not ended while a request is open on it; a client that only holds its place is ended."""
 
+import os
+
 import pytest
 import trio
+import trio.testing
 
 from rookbend.core.inactivity import ConnectionActivity, InactivityLimits
+from rookbend.fronts.platform import INACTIVITY_LIMITS
 from rookbend.protocol.client_frames import MAX_BUFFERED_BYTES
 from rookbend.testing.open_loop_client import encode_frame
 from tests.director_scenario import OBJ, run_with_director
@@ -65,6 +69,22 @@
     run_with_director(check)
 
 
+def test_a_request_that_arrived_behind_a_delayed_loop_is_served_instead_of_timed_out():
+    # Guards against the end of a connection over unread bytes that complete the frame.
+    async def check(harness):
+        client = harness.actors["client"]
+        await client.open()
+        await client.streams[-1].send_all(FORM[:100])
+        await trio.testing.wait_all_tasks_blocked()
+        (connection,) = harness.service.client_listener.open
+        connection.session.activity.last_activity_us -= INACTIVITY_LIMITS.stall_us
+        os.write(client.streams[-1].socket.fileno(), FORM[100:])  # no task runs before the next step
+        harness.service.client_listener._end_expired(harness.service.clock.now())
+        await harness.play(SERVE_FORM)
+
+    run_with_director(check)
+
+
 @pytest.mark.parametrize("open_request", [False, True])
 def test_a_client_that_writes_for_ever_costs_bounded_time_memory_and_descriptors(open_request):
     async def check(harness):
