A shutdown waits for a client that is writing a request, and refuses it then

Callers saw (by reading; not seen in service): a request whose last byte was written after the shutdown had closed the connection in the middle of it got no answer.

Cause: `close_idle_clients` takes a connection without an open request for idle, also while a request arrives on it.

Change: a client that paused for less than 250 ms within a request is not closed; its request is then refused with a Retry-After, as any after the grace. The shutdown's end stays bounded by `Drain.run`.

Measured: the new test fails on the commit before (the client was closed, no answer), the other nine of its file pass there; all ten pass now, with the tests of the shutdown.

--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -16,6 +16,7 @@
 NEW_CLIENT_GRACE_US = 250_000  # a client that has sent nothing is not evicted for this long after its connect
 REAPER_PERIOD_S = 0.25
 STALL_TIMEOUT_S = 6.0  # a client that reads nothing for this long is dropped
+WRITING_PAUSE_US = 250_000  # a client may pause for this long within a request that a shutdown waits for
 REQUEST_TRANSIT_US = 50_000  # a client resends a request that it sent at most this long before it saw the close
 EVICTION_BATCH_DIVISOR = 32  # share of all places freed at a time, since each eviction scans all clients
 MAX_FINISHING = 16  # connections in phase FINISHING at a time to free places
@@ -136,9 +137,12 @@
 
     def close_idle_clients(self) -> None:
         """Closes the idle connections, as the director shuts down. A client that connected within the last
-        `REQUEST_TRANSIT_US` and has sent nothing is kept: its first request may be in transit and is answered."""
-        for client in self._idle_clients(self.front.engine.clock.now() - REQUEST_TRANSIT_US):
-            client.finish_if_idle()
+        `REQUEST_TRANSIT_US` and has sent nothing is kept: its first request may be in transit and is answered. So is
+        one that is writing a request."""
+        now_us = self.front.engine.clock.now()
+        for client in self._idle_clients(now_us - REQUEST_TRANSIT_US):
+            if not client.session.activity.is_receiving(now_us - WRITING_PAUSE_US):
+                client.finish_if_idle()
 
     def announce_closing(self) -> None:
         """Notifies all present and future clients to send no new requests."""
--- a/tests/test_open_requests_kept.py
+++ b/tests/test_open_requests_kept.py
@@ -85,6 +85,19 @@
     run_with_director(check)
 
 
+def test_a_shutdown_waits_for_a_client_that_is_writing_a_request():
+    # Guards against a request whose last byte is written to a connection that the shutdown has ended.
+    async def check(harness):
+        client = harness.actors["client"]
+        await client.open()
+        await client.streams[-1].send_all(FORM[:100])
+        harness.service.stop()
+        await write_slowly(client.streams[-1], FORM[100:], 12, 0.1)
+        await harness.play("client expect closing\nclient expect refused 2\nclient expect closed\ndirector expect exit")
+
+    run_with_director(check)
+
+
 @pytest.mark.parametrize("open_request", [False, True])
 def test_a_client_that_writes_for_ever_costs_bounded_time_memory_and_descriptors(open_request):
     async def check(harness):
