A cache's answer is cut when its bytes stop, not when it takes more than 0.5 s

Callers saw (by reading; not seen in service): an answer that took more than 0.5 s from its first byte to its last was cut, and with it every attempt behind it on a shared connection; the request was refused in the end, or failed if it was a write.

Change: while an attempt is in flight the limit counts from the last byte. What never ends is bounded by its attempt's time-out, after which the connection takes nothing new and is closed; with no attempt in flight the limit counts from the first byte as before.

--- a/rookbend/net/member_connection.py
+++ b/rookbend/net/member_connection.py
@@ -19,7 +19,7 @@
 CLOSE_TIMEOUT_US = 500_000  # from the director's close to dropping a connection that the member leaves open
 MAX_DISCARDED_BYTES = 1 << 20  # read and discarded within that time
 MAX_REMEMBERED_IDS = 512
-ANSWER_TIMEOUT_US = 500_000  # from the first byte of an answer to its last
+ANSWER_STALL_TIMEOUT_US = 500_000  # without a byte, within an answer
 
 
 class ConnectionState(Enum):
@@ -196,8 +196,12 @@
             self.owner.connection_lost(self)
 
     async def _read_answers(self) -> None:
-        """Reads until the connection ends, or until an answer is not complete ANSWER_TIMEOUT_US after its first
-        bytes: behind an answer that is cut off, no other one would arrive on that connection."""
+        """Reads until the connection ends, or until nothing arrives for ANSWER_STALL_TIMEOUT_US within an answer:
+        behind an answer that is cut off, no other one would arrive on that connection.
+
+        An answer whose bytes keep arriving is read to its end, or until its attempt times out. If no attempt is in
+        flight, nobody waits for its rest, and the time counts from its first byte.
+        """
         parser, clock = self.parser, self.clock
         while data := await self.socket.receive():
             self.last_received_us = now = clock.now()
@@ -206,8 +210,8 @@
                 continue
             if not parser.has_partial:
                 self._read_scope.deadline = math.inf
-            elif self._read_scope.deadline == math.inf:
-                self._read_scope.deadline = clock.monotonic_at(now + ANSWER_TIMEOUT_US)
+            elif self.in_flight or self._read_scope.deadline == math.inf:
+                self._read_scope.deadline = clock.monotonic_at(now + ANSWER_STALL_TIMEOUT_US)
             self.owner.read_processed(self)
 
     async def _close_after_violation(self, reason: str) -> None:
--- a/tests/test_member_connections.py
+++ b/tests/test_member_connections.py
@@ -1,5 +1,7 @@
 """Connections to members on loopback: malformed and late answers, reused request ids, sharing."""
 
+from contextlib import suppress
+
 import trio
 
 from rookbend.core.model import AttemptResult
@@ -38,6 +40,50 @@
     assert service.counters.garbage == 1
 
 
+async def write_slowly(stream, data, pause_s=0.1):
+    """Writes pieces of 50 bytes until the peer has closed."""
+    with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        for offset in range(0, len(data), 50):
+            await stream.send_all(data[offset : offset + 50])
+            await trio.sleep(pause_s)
+
+
+def test_an_answer_whose_bytes_keep_arriving_is_read_to_its_end():
+    # Guards against the loss of an answer, and of all attempts behind it, 0.5 s after its first byte.
+    async def check(harness):
+        harness.service.pool.max_connections = 1
+        await harness.play("""
+            client send request 1 video budget=5000
+            cache1 expect do rid=0000000000000001
+            client send request 2 video chunk=1 budget=5000
+            cache1 expect do rid=0000000000000002
+        """)
+        stream, _ = harness.actors["cache1"].received_attempts["0000000000000001"]
+        await write_slowly(stream, b"0000000000000001 ok note=mem 2000\r\n" + b"x" * 2000 + b"\r\n")
+        await harness.play(f"""
+            client expect served 1 {"x" * 2000}
+            cache1 send ok rid=0000000000000002 note=mem body=there
+            client expect served 2 there
+        """)
+        assert (harness.service.counters.garbage, harness.service.counters.attempts) == (0, 2)
+
+    run_with_director(check)
+
+
+def test_an_answer_that_never_ends_costs_its_attempt_and_then_the_connection():
+    async def check(harness):
+        await harness.play("client send request 1 form budget=1500\nrecords expect do rid=0000000000000001")
+        stream, _ = harness.actors["records"].received_attempts["-"]
+        harness.nursery.start_soon(write_slowly, stream, b"0000000000000001 ok - 9000\r\n" + b"x" * 8000)
+        began = trio.current_time()
+        await harness.play("client expect failed 1\ndirector wait 0.6")
+        assert trio.current_time() - began <= 1.5 + 0.6
+        assert not [c for pool in harness.service.pool.members.values() for c in pool.connections if c.in_flight]
+        assert harness.service.pool.open_connections == 0
+
+    run_with_director(check)
+
+
 def test_a_connection_with_an_overdue_answer_gets_no_new_attempt():
     """A connection on which an answer did not arrive in time may never deliver another one."""
     service = play("""
