A call of the coordinator whose answer has not begun is not ended for being slow

Cause: the silence that shows a running stream to be dead was also applied to a call without an answer; each call was ended before it could be answered, for ever.

Ruled out: streams that began and then fell silent.

Change: `net/coordinator_calls.py`: such a call goes on while the next one begins beside it, no sooner than before; the first answered by a stream wins, three at most. A coordinator that hung is called again as soon as before (test of the silent stream unchanged). `coordinator_unanswered` tells the two states apart. The backoff has a module of its own, its code unchanged.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -30,7 +30,7 @@
 
 from benchmarks.fleet import checkout
 from benchmarks.measure import figures, machine, table
-from rookbend.net.watch import ReconnectBackoff
+from rookbend.net.reconnect_backoff import ReconnectBackoff
 from rookbend.testing.cluster import open_cluster
 from rookbend.testing.cluster.record import now_us
 from rookbend.testing.cluster.shared_state import ORIGIN, MemberProfile
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -1,63 +1,26 @@
 """The driver of the coordinator's stream: stays connected, and passes its events to the engine.
 
-If the coordinator ends all streams at once, all directors would reconnect at the same moment. The reconnect backoff
-therefore has jitter: each director reconnects in a slot of its own within a span that grows with the fleet, up to
-`MAX_SPREAD_S`. The slot depends on the director's number and a seeded random draw. A director keeps its slot while its
-calls return no event; after each stream that delivered events the slots shift, so that no director is always the last.
-
-The coordinator assumes that its events arrive at once, so the time without a working stream is limited to the sum of
-`SILENCE_TIMEOUT_US` until a silent stream is closed, the backoff, and the settings' connect timeout.
+The coordinator assumes that its events arrive at once, so the time without a working stream is limited: to the sum of
+`SILENCE_TIMEOUT_US` until a silent stream is closed, the backoff, the settings' connect timeout, and the time that the
+coordinator takes to begin its answer.
 """
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 import trio
 
 from rookbend.core.engine import Engine
 from rookbend.core.model import MembershipChange, Purge
+from rookbend.net.coordinator_calls import CALL_ERRORS, AnsweredCall, CoordinatorCalls
+from rookbend.net.reconnect_backoff import ReconnectBackoff
 from rookbend.protocol.coordinator_stream import KnownEvents, StreamError, Translator, Update
-from rookbend.protocol.event_stream import EventStream, StreamEnd, UnreadableEvent
+from rookbend.protocol.event_stream import EventStream, StreamEnd, StreamItem, UnreadableEvent
 
 STREAM_PATH = "/v2/stream"
 READ_BYTES = 65536
 SILENCE_TIMEOUT_US = 2_200_000  # the coordinator sends a comment each second: a stream that missed two is dead
-MIN_PAUSE_S = 0.1  # minimum before a call, after a stream that delivered events
-MAX_SPREAD_S = 0.8  # added to it, spread over the fleet: less than a fifth of the fleet calls in any 0.1 s
-SPREAD_PER_DIRECTOR_S = 0.08  # the spread of a fleet too small for MAX_SPREAD_S
-REPEAT_MARGIN_S = 0.1  # keeps the pause between calls without events above the span, so that rounds don't overlap
-SLOT_SHIFT_RATIO = 0.382  # of the span, by which the slots shift
-SLOT_JITTER_RATIO = 0.25  # of a slot; with more, three directors may call at the same time
-
-
-class ReconnectBackoff:
-    """Pauses between calls: first until this director's slot in the span, then a fixed pause."""
-
-    def __init__(self, number: int, count: int, seed: int) -> None:
-        """`number` is this director's number, of `count`; `seed` is specific to this director."""
-        self.number = number
-        self.count = max(1, count)
-        self.span_s = min(MAX_SPREAD_S, SPREAD_PER_DIRECTOR_S * self.count)
-        self.repeat_pause_s = MIN_PAUSE_S + self.span_s + REPEAT_MARGIN_S
-        self._random = random.Random(f"{seed} calls")
-        self._streams = 0
-        self._in_slot = False
-
-    def reset(self) -> None:
-        """The last call delivered events, so the coordinator works."""
-        self._in_slot = False
-
-    def next(self) -> float:
-        """The pause before the next call, in seconds."""
-        if self._in_slot:
-            return self.repeat_pause_s
-        slot = (self.number + SLOT_JITTER_RATIO * self._random.random()) / self.count
-        slot += self._streams * SLOT_SHIFT_RATIO
-        self._in_slot = True
-        self._streams += 1
-        return MIN_PAUSE_S + self.span_s * (slot % 1.0)
 
 
 class Watch:
@@ -121,8 +84,8 @@
             index_before = self.last_index
             with trio.CancelScope() as self._call_scope:
                 try:
-                    await self._follow()
-                except (OSError, StreamError, trio.BrokenResourceError) as error:
+                    await self._follow(await self._next_stream())
+                except CALL_ERRORS as error:
                     self.engine.log("coordinator_lost", "warning", reason=str(error) or type(error).__name__)
                 if self.last_index != index_before:
                     self.backoff.reset()
@@ -130,29 +93,47 @@
             if self._call_scope.cancelled_caught:
                 self.backoff.reset()  # the coordinator was changed, and the new one may work
 
-    async def _follow(self) -> None:
-        """Makes one call. Raises OSError, StreamError or BrokenResourceError when the stream has ended."""
+    async def _next_stream(self) -> AnsweredCall:
         if self.address is None:
             await trio.sleep_forever()
+        engine = self.engine
+        return await CoordinatorCalls(engine.clock, self._call, self.backoff.next, engine.log).first_answered()
+
+    async def _call(self) -> AnsweredCall:
+        """Makes one call and waits until its answer begins. Raises one of CALL_ERRORS if it fails."""
+        assert self.address is not None
         host, port = self.address
         clock = self.engine.clock
-        stream = None
+        connection = None
         with trio.move_on_at(clock.monotonic_at(clock.now() + self.engine.settings.connect_timeout_us)):
-            stream = await trio.open_tcp_stream(host, port)
-        if stream is None:
+            connection = await trio.open_tcp_stream(host, port)
+        if connection is None:
             raise StreamError("no connection")
-        async with stream:
+        try:
             events = EventStream(f"{host}:{port}", STREAM_PATH, self.last_index)
-            await stream.send_all(events.start())
+            await connection.send_all(events.start())
+            items: list[StreamItem] = []
+            while not events.has_begun:
+                items = events.feed(bytes(await connection.receive_some(READ_BYTES)))
+            return AnsweredCall(connection, events, items)
+        except BaseException:
+            await trio.aclose_forcefully(connection)
+            raise
+
+    async def _follow(self, call: AnsweredCall) -> None:
+        """Applies the events of a stream until it ends. Raises one of CALL_ERRORS then."""
+        clock, items = self.engine.clock, call.items
+        async with call.connection:
             with trio.CancelScope() as silence_scope:
                 while True:
+                    self._process(items)
                     silence_scope.deadline = clock.monotonic_at(clock.now() + SILENCE_TIMEOUT_US)
-                    self._process(events, await stream.receive_some(READ_BYTES))
+                    items = call.events.feed(bytes(await call.connection.receive_some(READ_BYTES)))
             raise StreamError("the stream is silent")
 
-    def _process(self, events: EventStream, data: bytes | bytearray) -> None:
-        """Applies the events in the received bytes. Raises StreamError at the end of the stream."""
-        for event in events.feed(bytes(data)):
+    def _process(self, items: list[StreamItem]) -> None:
+        """Applies received events. Raises StreamError at the end of the stream."""
+        for event in items:
             if isinstance(event, StreamEnd):
                 raise StreamError("the stream has ended")
             if isinstance(event, UnreadableEvent):
--- a/rookbend/protocol/event_stream.py
+++ b/rookbend/protocol/event_stream.py
@@ -38,6 +38,7 @@
 
     def __init__(self, host: str, path: str, last_index: int) -> None:
         """`last_index` is the number of the last known event: the stream starts after it."""
+        self.has_begun = False  # the response's head was received, with status 200
         self._http = h11.Connection(h11.CLIENT)
         self._request = h11.Request(
             method="GET",
@@ -64,8 +65,10 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return items
-                if isinstance(event, h11.Response) and event.status_code != 200:
-                    raise StreamError(f"coordinator answered with HTTP status {event.status_code}")
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        raise StreamError(f"coordinator answered with HTTP status {event.status_code}")
+                    self.has_begun = True
                 if isinstance(event, h11.Data):
                     items += self._read_events(bytes(event.data))
                 elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
--- a/tests/test_coordinator_watch.py
+++ b/tests/test_coordinator_watch.py
@@ -1,6 +1,6 @@
 """The reconnect backoff: the fleet's calls to its coordinator are spread, and each pause stays within its bounds."""
 
-from rookbend.net.watch import MAX_SPREAD_S, MIN_PAUSE_S, ReconnectBackoff
+from rookbend.net.reconnect_backoff import MAX_SPREAD_S, MIN_PAUSE_S, ReconnectBackoff
 
 
 def call_times(count, rounds, seed):
--- a/tests/test_membership_stream.py
+++ b/tests/test_membership_stream.py
@@ -6,7 +6,8 @@
 import pytest
 import trio
 
-from rookbend.net.watch import MIN_PAUSE_S, SILENCE_TIMEOUT_US, ReconnectBackoff
+from rookbend.net.reconnect_backoff import MIN_PAUSE_S, ReconnectBackoff
+from rookbend.net.watch import SILENCE_TIMEOUT_US
 from tests.director_scenario import OBJ, START_UNIX_S, run_with_director
 from tests.interleaving import hold_connects
 from tests.scripted_coordinator import HEAD, ScriptedCoordinator, chunk, event, full_membership, member_change
