A DNS connection over TCP is not ended while a lookup is open on it

Callers saw (by reading; not seen in service): with lookups that may take more than 10 s (`budget`, class deadlines), no reply over TCP, because the connection was ended 10 s after its last byte.

RFC 7766, section 3: a server's connection is idle when replies to all queries received on it were sent. Beside it, a repeated query was counted twice and replied once, a byte now and then kept a connection for ever, and unread replies were kept without bound.

`BufferedSocket.sent` waits until the kernel has taken what was written.

--- a/rookbend/net/buffered_socket.py
+++ b/rookbend/net/buffered_socket.py
@@ -63,6 +63,7 @@
         self.reset = False  # it was a reset
         self._finishing = False  # the sending side is closed once the backlog is sent
         self.on_drained: Callable[[], None] | None = None  # called once the backlog is sent or dropped
+        self._drained = trio.Event()  # set by the same, for the tasks that wait now
 
     @property
     def unsent_bytes(self) -> int:
@@ -143,9 +144,20 @@
             return
         if self._finishing:
             self._close_sending_side()
+        self._notify_drained()
+
+    def _notify_drained(self) -> None:
+        self._drained.set()
+        self._drained = trio.Event()
         if self.on_drained is not None:
             self.on_drained()
 
+    async def sent(self) -> None:
+        """Waits until the kernel has taken all bytes written so far, or the connection has ended."""
+        self.send()
+        while self._backlog:
+            await self._drained.wait()
+
     async def receive(self) -> bytes:
         """The next bytes; empty at the end of the connection, whether by a close, a reset or an error."""
         while not (self.closed or self.eof_received):
@@ -204,8 +216,7 @@
         self.backlog_bytes = 0
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
-        if self.on_drained is not None:
-            self.on_drained()
+        self._notify_drained()
 
     def close(self) -> None:
         """Closes the socket at once and wakes the tasks that wait on it."""
@@ -213,6 +224,7 @@
             self.closed = True
             self._backlog.clear()
             self.backlog_bytes = 0
+            self._drained.set()
             trio.lowlevel.notify_closing(self.sock)
             self.sock.close()
 
--- a/rookbend/net/dns_server.py
+++ b/rookbend/net/dns_server.py
@@ -9,18 +9,16 @@
 import dns.message
 import trio
 
-from rookbend.core.clock import Clock
 from rookbend.fronts.dns import DnsFront
 from rookbend.fronts.dns_lookups import Respond
 from rookbend.net.acceptor import accept
 from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.component import Component, ComponentContext
 from rookbend.net.dns_resolver import ResolverClient
+from rookbend.net.dns_tcp_client import DnsTcpClient
 from rookbend.net.listeners import Listeners
-from rookbend.protocol import dns_tcp
 from rookbend.protocol.dns import MAX_MESSAGE_BYTES, encode_reply
 
-IDLE_TIMEOUT_US = 10_000_000  # from the last message of a TCP client to its close
 MAX_TCP_CLIENTS = 64
 RESOLVER_DESCRIPTORS = 32  # concurrent lookups at the resolver
 BIND_ATTEMPTS = 20
@@ -110,44 +108,8 @@
     async def _serve_client(self, channel: BufferedSocket) -> None:
         try:
             with self._containment.contain("dns"), contextlib.suppress(OSError):  # the client may have left already
-                await _TcpClient(channel, self.front, self._clock).run()
+                await DnsTcpClient(channel, self.front, self._clock).run()
         finally:
             self.clients -= 1
             channel.send()
             channel.close()
-
-
-class _TcpClient:
-    """One TCP connection and its pending replies."""
-
-    def __init__(self, channel: BufferedSocket, front: DnsFront, clock: Clock):
-        self._channel = channel
-        self._front = front
-        self._clock = clock
-        self._reader = dns_tcp.MessageReader()
-        self._pending = 0
-        self._all_replied = trio.Event()
-
-    def _respond(self, reply: dns.message.Message) -> None:
-        self._pending -= 1
-        self._channel.write(dns_tcp.frame(encode_reply(reply, b"", over_udp=False)))
-        if not self._pending:
-            self._all_replied.set()
-
-    async def run(self) -> None:
-        """Receives queries until the client closes or is idle for too long, then waits for the pending replies."""
-        client = ("tcp", *self._channel.sock.getpeername())
-        with trio.CancelScope() as idle:
-            while True:
-                idle.deadline = self._clock.monotonic_at(self._clock.now() + IDLE_TIMEOUT_US)
-                data = await self._channel.receive()
-                if not data:
-                    break
-                for wire in self._reader.feed(data):
-                    self._pending += 1
-                    if not self._front.query(wire, client, self._respond):
-                        self._pending -= 1
-            self._all_replied = trio.Event()
-            # The client may have closed only its sending side; the idle timeout limits this wait too.
-            if self._pending and not self._channel.broken:
-                await self._all_replied.wait()
--- a/rookbend/protocol/dns_tcp.py
+++ b/rookbend/protocol/dns_tcp.py
@@ -16,6 +16,11 @@
     def __init__(self) -> None:
         self._buffer = b""
 
+    @property
+    def has_partial(self) -> bool:
+        """Whether an incomplete message was received."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the messages that are complete."""
         self._buffer += data
--- /dev/null
+++ b/tests/test_dns_tcp_client.py
@@ -0,0 +1,110 @@
+"""DNS over TCP: a connection is idle only once all its queries have replies, and costs a bounded amount otherwise."""
+
+import copy
+from socket import SO_SNDBUF, SOL_SOCKET
+
+import dns.message
+import pytest
+import trio
+
+from rookbend.net.buffered_socket import RECEIVE_BYTES
+from rookbend.net.dns_server import DnsServer
+from rookbend.net.dns_tcp_client import INACTIVITY_LIMITS, MAX_UNSENT_BYTES
+from rookbend.protocol import dns_tcp
+from tests.director_scenario import OBJ, SETTINGS, run_with_director
+
+READ = f"p0.{OBJ}.g0.video.route.example.org"
+UNKNOWN = f"p0.{OBJ}.g0.nothing.route.example.org"
+LOOKUP_S = 15  # longer than a connection may be idle
+REPLY_AFTER_IT = f"""
+    cache1 send ok note=mem body=hello
+    resolver expect cache1.example.org
+    director wait {LOOKUP_S}
+    resolver send 127.0.0.11
+    dns expect tcp id=6 NOERROR cache1.example.org
+"""
+
+
+def slow_lookups():
+    """Settings whose lookups may take longer than a connection may be idle."""
+    settings = copy.deepcopy(SETTINGS)
+    for traffic_class in settings["lanes"]:
+        traffic_class["hardLimitUs"] = 2 * LOOKUP_S * 1_000_000
+    return {"settings": settings, "dns": f"budget {2 * LOOKUP_S}s"}
+
+
+def limit_s(name):
+    return getattr(INACTIVITY_LIMITS, name) / 1e6
+
+
+@pytest.mark.parametrize("half_closed", [False, True])
+def test_a_lookup_that_takes_longer_than_the_idle_limit_gets_its_reply(half_closed):
+    # Guards against the end of a TCP connection 10 s after its last query, whether that has its reply or not.
+    async def check(harness):
+        await harness.play(f"dns send tcp {READ} id=6\ncache1 expect do k={OBJ}")
+        if half_closed:
+            await harness.actors["dns"].streams[0].send_eof()
+        await harness.play(REPLY_AFTER_IT)
+
+    run_with_director(check, **slow_lookups())
+
+
+def test_a_query_repeated_before_its_reply_does_not_keep_the_connection():
+    # Guards against a count of open queries that a repeat, which shares its reply, keeps above zero.
+    async def check(harness):
+        await harness.play(f"dns send tcp {READ} id=6\ncache1 expect do k={OBJ}")
+        stream, query = harness.actors["dns"].streams[0], dns.message.make_query(READ, "A", id=6).to_wire()
+        await stream.send_all(dns_tcp.frame(query))
+        await stream.send_eof()
+        await harness.play(REPLY_AFTER_IT.replace(str(LOOKUP_S), "1") + "director wait 0.1")
+        assert not harness.service.dns.clients
+
+    run_with_director(check)
+
+
+@pytest.mark.parametrize("pause_s, limit", [(0, "idle_us"), (1, "message_us")], ids=["silent", "writes-for-ever"])
+def test_a_client_without_an_open_query_is_ended_within_its_limit(pause_s, limit):
+    async def check(harness):
+        stream = await trio.open_tcp_stream(*harness.service.dns.address)
+        began = trio.current_time()
+
+        async def write_for_ever():
+            with pytest.raises(trio.BrokenResourceError):
+                while pause_s:
+                    await stream.send_all(b"\xff")
+                    await trio.sleep(pause_s)
+                raise trio.BrokenResourceError
+
+        harness.nursery.start_soon(write_for_ever)
+        with pytest.raises(trio.BrokenResourceError):
+            assert await stream.receive_some() == b""
+            raise trio.BrokenResourceError
+        assert trio.current_time() - began == pytest.approx(limit_s(limit), abs=1.1)
+        assert not harness.service.dns.clients
+
+    run_with_director(check)
+
+
+def test_a_client_that_reads_no_replies_costs_bounded_memory_and_time(monkeypatch):
+    # Guards against replies to a client that only writes, kept in memory without bound.
+    channels = []
+    serve = DnsServer._serve_client
+
+    async def record(server, channel):
+        channels.append(channel)
+        await serve(server, channel)
+
+    monkeypatch.setattr(DnsServer, "_serve_client", record)
+
+    async def check(harness):
+        stream = await trio.open_tcp_stream(*harness.service.dns.address)
+        queries = dns_tcp.frame(dns.message.make_query(UNKNOWN, "A", id=6).to_wire()) * 1000
+        with trio.move_on_after(limit_s("idle_us") + 1), pytest.raises(trio.BrokenResourceError):
+            await stream.send_all(queries[:100])
+            channels[0].sock.setsockopt(SOL_SOCKET, SO_SNDBUF, 8192)
+            while True:
+                await stream.send_all(queries)
+                assert channels[0].backlog_bytes <= MAX_UNSENT_BYTES + 4 * RECEIVE_BYTES  # the replies to one read
+        assert not harness.service.dns.clients
+
+    run_with_director(check)
