A request at the admin and the HTTP listener is not cut by a limit of its connection

Callers saw (by reading; not seen in service): an order that was being carried out 10 s after its connection's accept got no answer, and a kept connection was ended every 10 s, also under a request.

Change: `serve_http` follows `core/inactivity.py`; `BoundedServer` only limits the number of clients. The next request is handled once the kernel has taken the last answer, so that a client that reads none costs one answer.

--- a/rookbend/components/admin.py
+++ b/rookbend/components/admin.py
@@ -8,6 +8,7 @@
 from rookbend.health.events import OrderReceived
 from rookbend.health.model import Order
 from rookbend.net.bounded_server import BoundedServer
+from rookbend.net.buffered_socket import BufferedSocket
 from rookbend.net.component import Component, ComponentContext
 from rookbend.net.http_server import serve_http
 from rookbend.protocol.admin_api import AdminApi, CommandResult
@@ -34,7 +35,11 @@
         recovery.command if recovery is not None else None,
         ownership,
     )
-    server = BoundedServer(context, "admin", settings.listen, lambda channel: serve_http(channel, api.answer))
+
+    async def serve_client(channel: BufferedSocket) -> None:
+        await serve_http(channel, api.answer, context.clock)
+
+    server = BoundedServer(context, "admin", settings.listen, serve_client)
     context.built["admin"] = server
     return server
 
--- a/rookbend/net/bounded_server.py
+++ b/rookbend/net/bounded_server.py
@@ -1,4 +1,4 @@
-"""A TCP server for operators and balancers that limits the number of clients and the time of each."""
+"""A TCP server for operators and balancers that limits the number of clients."""
 
 from __future__ import annotations
 
@@ -13,7 +13,6 @@
 from rookbend.net.listeners import Listeners
 
 MAX_CLIENTS = 32
-CLIENT_TIMEOUT_US = 10_000_000
 
 
 class BoundedServer(Component):
@@ -27,10 +26,9 @@
         name: str,
         address: tuple[str, int],
         serve_client: Callable[[BufferedSocket], Awaitable[None]],
-        long_lived: bool = False,
     ):
-        """`name` identifies the server in the log. `serve_client` serves one client; the connection is closed when it
-        returns, or after `CLIENT_TIMEOUT_US` unless clients are `long_lived`."""
+        """`name` identifies the server in the log. `serve_client` serves one client, and limits the time for which a
+        client that does nothing stays; the connection is closed when it returns."""
         self.clock = context.clock
         self.clients = 0
         self.address: tuple[str, int] | None = None  # set by `open`
@@ -39,7 +37,6 @@
         self._containment = context.containment
         self._write_scheduler = context.write_scheduler
         self._serve_client = serve_client
-        self._long_lived = long_lived
 
     def open(self, listeners: Listeners) -> None:
         """Opens the listener."""
@@ -63,9 +60,7 @@
 
     async def _run_client(self, channel: BufferedSocket) -> None:
         try:
-            with self._containment.contain(self._name), trio.CancelScope() as scope:
-                if not self._long_lived:
-                    scope.deadline = self.clock.monotonic_at(self.clock.now() + CLIENT_TIMEOUT_US)
+            with self._containment.contain(self._name):
                 await self._serve_client(channel)
         finally:
             self.clients -= 1
--- a/rookbend/net/http_server.py
+++ b/rookbend/net/http_server.py
@@ -4,22 +4,72 @@
 
 from collections.abc import Awaitable, Callable
 
+import trio
+
+from rookbend.core.clock import Clock
+from rookbend.core.inactivity import ConnectionActivity, InactivityLimits
 from rookbend.net.buffered_socket import BufferedSocket
 from rookbend.protocol.http_server import HttpRequest, HttpResponse, HttpServerConnection
 
+INACTIVITY_LIMITS = InactivityLimits(
+    first_message_us=10_000_000,
+    idle_us=10_000_000,
+    stall_us=10_000_000,
+    message_us=30_000_000,
+)
+
 HttpHandler = Callable[[HttpRequest], HttpResponse | Awaitable[HttpResponse]]
 
 
-async def serve_http(channel: BufferedSocket, handle: HttpHandler) -> None:
-    """Answers the requests of a connection in order, until it ends."""
-    http = HttpServerConnection()
-    while not http.ended:
-        request = http.feed(await channel.receive())
-        while request is not None:
-            response = handle(request)
-            if not isinstance(response, HttpResponse):
-                response = await response
-            channel.write(http.respond(*response))
-            request = None if http.ended else http.next_request()
-        if http.error_response:
-            channel.write(http.error_response)
+class _ConnectionEndedError(Exception):
+    """The client was inactive for too long."""
+
+
+async def serve_http(channel: BufferedSocket, handle: HttpHandler, clock: Clock) -> None:
+    """Answers the requests of a connection in order, until it ends or its client is inactive for too long.
+
+    A request that is being handled has no time limit here: its handler ends it.
+    """
+    try:
+        await _Connection(channel, handle, clock).run()
+    except _ConnectionEndedError:
+        return
+
+
+class _Connection:
+    def __init__(self, channel: BufferedSocket, handle: HttpHandler, clock: Clock) -> None:
+        self._channel = channel
+        self._handle = handle
+        self._clock = clock
+        self._http = HttpServerConnection()
+        self._activity = ConnectionActivity(INACTIVITY_LIMITS, clock.now())
+
+    async def run(self) -> None:
+        http = self._http
+        while not http.ended:
+            request = http.feed(await self._receive())
+            self._activity.received(self._clock.now(), request is not None, http.has_partial)
+            while request is not None:
+                response = self._handle(request)
+                if not isinstance(response, HttpResponse):
+                    response = await response
+                await self._send(http.respond(*response))
+                request = None if http.ended else http.next_request()
+            if http.error_response:
+                await self._send(http.error_response)
+
+    async def _receive(self) -> bytes:
+        deadline_us = self._activity.deadline_us(has_open_requests=False)
+        assert deadline_us is not None
+        with trio.move_on_at(self._clock.monotonic_at(deadline_us)):
+            return await self._channel.receive()
+        raise _ConnectionEndedError
+
+    async def _send(self, data: bytes) -> None:
+        """Returns once the kernel has taken the bytes: what a client does not read is not kept in memory."""
+        self._channel.write(data)
+        with trio.move_on_at(self._clock.monotonic_at(self._clock.now() + INACTIVITY_LIMITS.message_us)):
+            await self._channel.sent()
+            self._activity.answered(self._clock.now())
+            return
+        raise _ConnectionEndedError
--- a/rookbend/net/status_servers.py
+++ b/rookbend/net/status_servers.py
@@ -8,10 +8,10 @@
 import trio
 
 from rookbend.health.own_status import OwnStatus
-from rookbend.net.bounded_server import CLIENT_TIMEOUT_US, BoundedServer
+from rookbend.net.bounded_server import BoundedServer
 from rookbend.net.buffered_socket import BufferedSocket
 from rookbend.net.component import ComponentContext
-from rookbend.net.http_server import serve_http
+from rookbend.net.http_server import INACTIVITY_LIMITS, serve_http
 from rookbend.protocol import http_health
 from rookbend.protocol.agent_check import encode_line
 from rookbend.protocol.http_server import HttpRequest, HttpResponse
@@ -40,7 +40,7 @@
         return http_health.answer(request, status.accepts_requests, status.state)
 
     async def serve_client(channel: BufferedSocket) -> None:
-        await serve_http(channel, handle)
+        await serve_http(channel, handle, context.clock)
 
     return BoundedServer(context, "http-server", address, serve_client)
 
@@ -49,7 +49,7 @@
     """A server of the gRPC health service; clients of Watch stay connected and are notified of each change at once."""
 
     def __init__(self, context: ComponentContext, address: tuple[str, int], current_status: CurrentStatus):
-        super().__init__(context, "grpc-server", address, self._serve_grpc, long_lived=True)
+        super().__init__(context, "grpc-server", address, self._serve_grpc)
         self._current_status = current_status
         self._connections: dict[BufferedSocket, GrpcHealthServer] = {}
 
@@ -75,11 +75,11 @@
             del self._connections[channel]
 
     async def _exchange(self, channel: BufferedSocket, grpc: GrpcHealthServer) -> None:
-        """Serves calls until the connection ends, or until it is idle for `CLIENT_TIMEOUT_US` with no Watch open."""
+        """Serves calls until the connection ends, or until it is inactive for too long with no Watch open."""
         while not grpc.ended:
             with trio.CancelScope() as scope:
                 if not grpc.watched:
-                    scope.deadline = self.clock.monotonic_at(self.clock.now() + CLIENT_TIMEOUT_US)
+                    scope.deadline = self.clock.monotonic_at(self.clock.now() + INACTIVITY_LIMITS.idle_us)
                 channel.write(grpc.feed(await channel.receive()))
             if scope.cancelled_caught:
                 return
--- a/rookbend/protocol/http_server.py
+++ b/rookbend/protocol/http_server.py
@@ -44,6 +44,11 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._request: HttpRequest | None = None
 
+    @property
+    def has_partial(self) -> bool:
+        """Whether an incomplete request was received."""
+        return self._request is not None or bool(self._http.trailing_data[0])
+
     def feed(self, data: bytes) -> HttpRequest | None:
         """Takes received bytes, empty at the end of the connection; returns a request once it is complete."""
         try:
