A client of the gRPC listener that completes no frame is ended after 30 s

Callers saw (by test; not seen in service): a client that writes a byte now and then kept one of 32 places for ever.

Cause: any byte moved the idle limit. Found while the limits of the HTTP listener were traced.

Change: bytes without any reply count as an unfinished message (`core/inactivity.py`); an open Watch keeps its connection as before.

--- a/rookbend/net/status_servers.py
+++ b/rookbend/net/status_servers.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from rookbend.core.inactivity import ConnectionActivity
 from rookbend.health.own_status import OwnStatus
 from rookbend.net.bounded_server import BoundedServer
 from rookbend.net.buffered_socket import BufferedSocket
@@ -76,10 +77,14 @@
 
     async def _exchange(self, channel: BufferedSocket, grpc: GrpcHealthServer) -> None:
         """Serves calls until the connection ends, or until it is inactive for too long with no Watch open."""
+        activity = ConnectionActivity(INACTIVITY_LIMITS, self.clock.now())
         while not grpc.ended:
             with trio.CancelScope() as scope:
-                if not grpc.watched:
-                    scope.deadline = self.clock.monotonic_at(self.clock.now() + INACTIVITY_LIMITS.idle_us)
-                channel.write(grpc.feed(await channel.receive()))
+                deadline_us = activity.deadline_us(grpc.watched)
+                if deadline_us is not None:
+                    scope.deadline = self.clock.monotonic_at(deadline_us)
+                reply = grpc.feed(await channel.receive())
+                activity.received(self.clock.now(), has_completed=bool(reply), is_partial=not reply)
+                channel.write(reply)
             if scope.cancelled_caught:
                 return
--- a/tests/test_http_connection_limits.py
+++ b/tests/test_http_connection_limits.py
@@ -45,7 +45,7 @@
     run_with_director(check)
 
 
-@pytest.mark.parametrize("server", [1], ids=["http"])
+@pytest.mark.parametrize("server", [1, 2], ids=["http", "grpc"])
 @pytest.mark.parametrize("pause_s, limit_s", [(0, IDLE_S), (1, MESSAGE_S)], ids=["silent", "writes-for-ever"])
 def test_a_client_without_a_request_is_ended_within_its_limit(server, pause_s, limit_s):
     preface = b"GET /" if server == 1 else b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\x40\0\0\0\0\0\0\1"
