Requests taken before a client's invalid bytes are answered before the close

Callers saw (by reading; not seen in service): bytes that are no frame, or a stream number used twice, ended the connection at once with every request that had been taken on it before.

Cause: invalid bytes were taken for a reason to give up what came before them.

Change: the connection is REJECTED: what arrives is discarded, open requests are answered, then it is closed; of a stream number used twice its request is given up, since its answer could not be told apart. With nothing open the close comes at once as before. `client_dropped` has a reason of its own for a client that takes no answers (`unread-rejections`).

--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -48,6 +48,7 @@
         self.write = write
         self.parser = frames.FrameParser()
         self.open_streams: dict[int, OpenRequest | None] = {}  # None where the engine has no request for the stream
+        self.is_rejected = False  # invalid bytes were received: open requests are answered, and nothing new is read
         self.paused = False  # the client reads no answers: its requests are queued, its cancels are not
         self.activity = ConnectionActivity(INACTIVITY_LIMITS, front.engine.clock.now())
         self._client_closed = False  # the client has closed its side: new requests are rejected
@@ -68,7 +69,8 @@
         return sum(len(request.body) for request in self._queued.values())
 
     def feed(self, data: bytes) -> bool:
-        """Handles received bytes; returns False if the connection has to be closed."""
+        """Handles received bytes; returns False if nothing more can be read from this client. If `is_rejected` is set
+        then, its open requests are still answered."""
         is_valid = True
         try:
             received = self.parser.feed(data)
@@ -79,12 +81,12 @@
         for frame in received:
             if isinstance(frame, frames.RequestFrame):
                 if frame.stream in self.open_streams:
-                    is_valid = False  # two requests on one stream: their answers would be indistinguishable
+                    is_valid = False
+                    self._cancel(frame.stream)  # two requests on one stream: their answers would be indistinguishable
                     break
                 self._handle_request(frame)
             elif isinstance(frame, frames.CancelFrame):
-                self._queued.pop(frame.stream, None)
-                self.front.engine.cancel(self.open_streams.pop(frame.stream, None))
+                self._cancel(frame.stream)
             else:
                 self.write(frames.write_readiness(frame.stream, self.front.is_ready()))
         if self._rejected_while_paused > MAX_REJECTED_WHILE_PAUSED:
@@ -93,8 +95,13 @@
             self.reject_connection()
         return is_valid
 
+    def _cancel(self, stream: int) -> None:
+        self._queued.pop(stream, None)
+        self.front.engine.cancel(self.open_streams.pop(stream, None))
+
     def reject_connection(self) -> None:
-        """Sends an error that belongs to no request; the connection is closed after it."""
+        """Sends an error that belongs to no request; the connection is closed after the open requests are answered."""
+        self.is_rejected = True
         self.front.engine.counters.malformed += 1
         self.write(frames.write_answer(0, frames.STATUS_FAILED))
 
--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -1,6 +1,7 @@
 """One client connection: reads frames, writes answers, and closes without losing either.
 
-A connection is OPEN until the director closes its sending side, then FINISHING until the client closes too.
+A connection is OPEN until the director closes its sending side, then FINISHING until the client closes too. One whose
+client has sent invalid bytes is REJECTED in between, until its open requests are answered.
 Closing a socket that has unread bytes sends a reset, and a reset discards answers that the client has not read
 yet. The director therefore reads all pending bytes, closes its sending side, and goes on reading until the client
 closes. Requests received after the director's close are not served.
@@ -29,6 +30,7 @@
     """Whether the director still serves a connection."""
 
     OPEN = "open"  # requests are accepted
+    REJECTED = "rejected"  # bytes received are discarded; open requests are still answered
     FINISHING = "finishing"  # the director has closed its side; bytes received until the client closes are discarded
 
 
@@ -57,15 +59,26 @@
 
     def is_idle(self) -> bool:
         """Whether no answer is pending for this client, so that its connection may be closed."""
-        return self.phase is ClientPhase.OPEN and not self.session.open_streams and not self.socket.unsent_bytes
+        is_served = self.phase is not ClientPhase.FINISHING
+        return is_served and not self.session.open_streams and not self.socket.unsent_bytes
 
     def has_expired(self, now_us: int) -> bool:
-        """Whether the client has been inactive for too long: it has sent nothing, or only a part of a frame."""
-        if self.phase is not ClientPhase.OPEN or self.socket.unsent_bytes:
+        """Whether the client has been inactive for too long: it has sent nothing, or only a part of a frame. A rejected
+        client has no time left once its requests are answered."""
+        if not self.is_idle():
             return False
+        if self.phase is ClientPhase.REJECTED:
+            return True
         deadline_us = self.session.inactivity_deadline_us
         return deadline_us is not None and deadline_us <= now_us
 
+    @property
+    def expiry_reason(self) -> DropReason:
+        """Why the connection is ended if it has expired."""
+        if self.phase is ClientPhase.REJECTED:
+            return DropReason.INVALID_BYTES
+        return DropReason.INCOMPLETE_FRAME if self.session.activity.message_since_us else DropReason.INACTIVE
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes in memory for this client: unread answers, and the requests queued until they are read."""
@@ -76,7 +89,7 @@
         try:
             with self._read_scope:
                 await self._read()
-                if self.phase is ClientPhase.OPEN and not self.socket.reset:
+                if self.phase is not ClientPhase.FINISHING and not self.socket.reset:
                     await self._send_pending_answers()
         finally:
             self.session.connection_lost()
@@ -89,11 +102,11 @@
         while data := await self.socket.receive():
             if self.phase is ClientPhase.OPEN:
                 self._process(data + self.socket.receive_now())
-            else:
+            elif self.phase is ClientPhase.FINISHING:
                 self._discarded_bytes += len(data)
                 if self._discarded_bytes > MAX_DISCARDED_BYTES:
                     return
-        if self.phase is ClientPhase.OPEN and not self.socket.reset:
+        if self.phase is not ClientPhase.FINISHING and not self.socket.reset:
             self.session.client_closed()
 
     def _process(self, data: bytes) -> None:
@@ -103,7 +116,13 @@
             # it gets the data: no attempt starts for a client that has left.
             self.session.client_closed()
         self.session.paused = self.socket.backlog_bytes > PAUSE_ABOVE_BYTES
-        if not self.session.feed(data):
+        if self.session.feed(data):
+            return
+        if not self.session.is_rejected:
+            self.drop(DropReason.UNREAD_REJECTIONS)
+        elif self.session.open_streams or self.socket.backlog_bytes:
+            self.phase = ClientPhase.REJECTED
+        else:
             self.drop(DropReason.INVALID_BYTES)
 
     def _drained(self) -> None:
@@ -119,7 +138,7 @@
     def finish_if_idle(self, timeout_us: int = FINISH_TIMEOUT_US, reason: DropReason | None = None) -> bool:
         """Closes the connection of an idle client, which counts as a drop if a `reason` is given. If unread bytes have
         arrived, processes them instead and returns False."""
-        if data := self.socket.receive_now():
+        if (data := self.socket.receive_now()) and self.phase is ClientPhase.OPEN:
             self._process(data)
             return False
         if not self.socket.eof_received:
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -111,9 +111,7 @@
     def _end_expired(self, now_us: int) -> None:
         for client in list(self.open):
             if client.has_expired(now_us):
-                is_incomplete = bool(client.session.activity.message_since_us)
-                reason = DropReason.INCOMPLETE_FRAME if is_incomplete else DropReason.INACTIVE
-                self._end_idle(client, reason, FINISH_TIMEOUT_US)
+                self._end_idle(client, client.expiry_reason, FINISH_TIMEOUT_US)
 
     def _drop_stalled(self, stalled_since_s: float) -> None:
         """Drops clients that have read nothing since then, and the largest ones while the total exceeds the limit."""
--- a/tests/test_open_requests_kept.py
+++ b/tests/test_open_requests_kept.py
@@ -10,7 +10,7 @@
 from rookbend.fronts.platform import INACTIVITY_LIMITS
 from rookbend.protocol.client_frames import MAX_BUFFERED_BYTES
 from rookbend.testing.open_loop_client import encode_frame
-from tests.director_scenario import OBJ, run_with_director
+from tests.director_scenario import OBJ, play, run_with_director
 
 FORM = encode_frame(7, 2, {"method": "form", "obj": OBJ, "budget": "1500", "rid": f"{2:016x}"}, b"x" * 4000)
 OPEN_REQUEST = "client send request 1 video budget=20000\ncache1 expect do rid=0000000000000001"
@@ -98,6 +98,48 @@
     run_with_director(check)
 
 
+@pytest.mark.parametrize("way", ["answered", "half-closed", "writes-for-ever"])
+def test_a_client_that_sends_invalid_bytes_gets_its_open_answers_before_the_close(way):
+    # Guards against the loss of requests taken whole before the invalid bytes.
+    async def check(harness):
+        stream = None
+
+        async def write_for_ever():
+            with pytest.raises(trio.BrokenResourceError):
+                while True:
+                    await stream.send_all(b"\xff" * 100_000)
+                    await trio.sleep(0.01)
+
+        await harness.play(f"{OPEN_REQUEST}\nclient send raw 00000001\nclient expect failed 0")
+        stream = harness.actors["client"].streams[-1]
+        if way == "half-closed":
+            await stream.send_eof()
+        elif way == "writes-for-ever":
+            harness.nursery.start_soon(write_for_ever)
+        await harness.play(f"director wait 3\nclient expect nothing\n{SERVE_IT}")
+        if way != "writes-for-ever":
+            await harness.play("client expect closed")
+        await trio.sleep(1)
+        assert not harness.service.client_listener.open and not harness.service.counters.requests_dropped
+
+    run_with_director(check)
+
+
+def test_a_stream_number_used_twice_ends_its_requests_and_no_others():
+    play("""
+        client send request 1 video
+        cache1 expect do rid=0000000000000001
+        client send request 2 form
+        records expect do rid=0000000000000002
+        client send request 1 video rid=00000000000000ff
+        client expect failed 0
+        cache1 expect undo rid=0000000000000001
+        records send ok body=done
+        client expect served 2 done
+        client expect closed
+    """)
+
+
 @pytest.mark.parametrize("open_request", [False, True])
 def test_a_client_that_writes_for_ever_costs_bounded_time_memory_and_descriptors(open_request):
     async def check(harness):
