A client that pauses in reading is dropped only when it waits for no answer any more

Callers saw (by reading; not seen in service): with a class deadline above 6 s, a client that read nothing for 6 s lost its open requests and the answers on their way, although it still waited.

Cause: a fixed limit that took no notice of the deadlines in the settings.

Change: the longest deadline of the classes is the limit where it is longer than 6 s. Bounds of memory as before. `longest_deadline_us` serves the drain as well.

--- a/rookbend/core/traffic_classes.py
+++ b/rookbend/core/traffic_classes.py
@@ -45,6 +45,11 @@
         self.by_name = _indices_by_name(settings)
 
 
+def longest_deadline_us(settings: Settings) -> int:
+    """The time after which no client waits for its answer any more, whichever class it asked for."""
+    return max(traffic_class.deadline_us for traffic_class in settings.classes)
+
+
 def _indices_by_name(settings: Settings) -> dict[str, int]:
     return {
         traffic_class.name: index
--- a/rookbend/drain.py
+++ b/rookbend/drain.py
@@ -15,6 +15,7 @@
 
 from rookbend.core.clock import Clock
 from rookbend.core.engine import Engine
+from rookbend.core.traffic_classes import longest_deadline_us
 from rookbend.net.client_listener import ClientListener
 from rookbend.net.component import Component
 from rookbend.process_metrics import TIMER_STEP_US
@@ -86,8 +87,7 @@
 
     def _answer_time_us(self) -> int:
         """The time after SIGTERM within which every accepted request is answered, before SIGKILL may come."""
-        classes = self._context.engine.settings.classes
-        longest_us = max(traffic_class.deadline_us for traffic_class in classes)
+        longest_us = longest_deadline_us(self._context.engine.settings)
         return min(longest_us, MAX_ANSWER_TIME_US) + GRACE_US - KILL_MARGIN_US
 
     def _is_busy(self) -> bool:
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -7,6 +7,7 @@
 import trio
 
 from rookbend.core.counters import Counters
+from rookbend.core.traffic_classes import longest_deadline_us
 from rookbend.fronts.platform import PlatformFront
 from rookbend.net.acceptor import accept
 from rookbend.net.buffered_socket import WriteScheduler
@@ -15,7 +16,7 @@
 
 NEW_CLIENT_GRACE_US = 250_000  # a client that has sent nothing is not evicted for this long after its connect
 REAPER_PERIOD_S = 0.25
-STALL_TIMEOUT_S = 6.0  # a client that reads nothing for this long is dropped
+MIN_STALL_TIMEOUT_US = 6_000_000  # see `ClientListener._stall_timeout_us`
 WRITING_PAUSE_US = 250_000  # a client may pause for this long within a request that a shutdown waits for
 REQUEST_TRANSIT_US = 50_000  # a client resends a request that it sent at most this long before it saw the close
 EVICTION_BATCH_DIVISOR = 32  # share of all places freed at a time, since each eviction scans all clients
@@ -106,13 +107,18 @@
         while True:
             await trio.sleep(REAPER_PERIOD_S)
             self._end_expired(self.front.engine.clock.now())
-            self._drop_stalled(trio.current_time() - STALL_TIMEOUT_S)
+            self._drop_stalled(trio.current_time() - self._stall_timeout_us() / 1e6)
 
     def _end_expired(self, now_us: int) -> None:
         for client in list(self.open):
             if client.has_expired(now_us):
                 self._end_idle(client, client.expiry_reason, FINISH_TIMEOUT_US)
 
+    def _stall_timeout_us(self) -> int:
+        """A client that reads nothing for this long is dropped: it no longer waits for any request that was open when
+        it stopped reading."""
+        return max(MIN_STALL_TIMEOUT_US, longest_deadline_us(self.front.engine.settings))
+
     def _drop_stalled(self, stalled_since_s: float) -> None:
         """Drops clients that have read nothing since then, and the largest ones while the total exceeds the limit."""
         by_size = sorted((c for c in self.open if c.buffered_bytes), key=lambda c: c.buffered_bytes)
--- a/tests/test_open_requests_kept.py
+++ b/tests/test_open_requests_kept.py
@@ -1,5 +1,6 @@
 """A client's connection is not ended while a request is open on it; a client that only holds its place is ended."""
 
+import copy
 import os
 
 import pytest
@@ -10,7 +11,8 @@
 from rookbend.fronts.platform import INACTIVITY_LIMITS
 from rookbend.protocol.client_frames import MAX_BUFFERED_BYTES
 from rookbend.testing.open_loop_client import encode_frame
-from tests.director_scenario import OBJ, play, run_with_director
+from tests.director_scenario import OBJ, SETTINGS, play, run_with_director
+from tests.raw_client import SERVED, RawClient, request
 
 FORM = encode_frame(7, 2, {"method": "form", "obj": OBJ, "budget": "1500", "rid": f"{2:016x}"}, b"x" * 4000)
 OPEN_REQUEST = "client send request 1 video budget=20000\ncache1 expect do rid=0000000000000001"
@@ -98,6 +100,30 @@
     run_with_director(check)
 
 
+@pytest.mark.parametrize("deadline_s, kept", [(5, False), (20, True)])
+def test_a_client_that_reads_nothing_is_dropped_once_no_request_is_awaited_any_more(deadline_s, kept):
+    # Guards against the loss of answers whose client pauses in reading for less than the deadline of their class.
+    settings = copy.deepcopy(SETTINGS)
+    settings["lanes"][0]["hardLimitUs"] = deadline_s * 1_000_000
+
+    async def check(harness):
+        client = await RawClient(harness).connect(receive_buffer=4096)
+        streams = range(1, 32)
+        for stream in streams:
+            await client.send(request(stream, chunk=stream, budget=deadline_s * 1000))
+        for stream in streams:
+            await harness.play(f"cache1 expect do\ncache1 send ok rid={stream:016x} note=mem body={'x' * 200_000}")
+        await harness.play("director wait 8")
+        (connection,) = harness.service.client_listener.open or [None]
+        assert (connection is not None) is kept
+        if kept:
+            assert connection.socket.backlog_bytes
+            connection.socket.finish()
+            assert [stream for _, stream, code in await client.read_to_end() if code == SERVED] == list(streams)
+
+    run_with_director(check, settings=settings)
+
+
 @pytest.mark.parametrize("way", ["answered", "half-closed", "writes-for-ever"])
 def test_a_client_that_sends_invalid_bytes_gets_its_open_answers_before_the_close(way):
     # Guards against the loss of requests taken whole before the invalid bytes.
