An operator's request that arrives slowly is answered

Callers saw (by reading; not seen in service): a request at the operators' endpoint that was not complete 1 s after the accept was not answered, although its bytes kept arriving; with all places taken a new connection replaced the oldest, also one in use.

Change: the rule of `core/inactivity.py` (1 s without a byte, 10 s in all); the connection that has been inactive for longest is replaced; an answer may take 10 s to be read.

--- a/rookbend/net/operator_endpoint.py
+++ b/rookbend/net/operator_endpoint.py
@@ -1,7 +1,8 @@
 """The operators' HTTP listener: one request per connection, each answered within a second.
 
-- Connections that send nothing or only a part of a request hold descriptors. They are limited separately from the
-  platform's clients and closed after `REQUEST_TIMEOUT_US`; when all places are taken, a new one replaces the oldest.
+- Connections that send nothing or stop within a request hold descriptors. They are limited separately from the
+  platform's clients and closed within `INACTIVITY_LIMITS`; when all places are taken, a new one replaces the one that
+  has been inactive for longest.
 - A delayed event loop delays answers too. Therefore an answer takes a single read of state in memory, and no request
   waits for another.
 - Closing a socket over unread bytes sends a reset, which can discard the answer. Therefore the endpoint closes its
@@ -14,19 +15,57 @@
 
 import trio
 
+from rookbend.core.clock import Clock
+from rookbend.core.inactivity import ConnectionActivity, InactivityLimits
 from rookbend.net.acceptor import accept
 from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.component import Component, ComponentContext
-from rookbend.protocol.http_server import HttpServerConnection
+from rookbend.protocol.http_server import HttpRequest, HttpServerConnection
 from rookbend.protocol.operator_api import OperatorApi
 
 MAX_CONNECTIONS = 24
-REQUEST_TIMEOUT_US = 1_000_000  # a request that is not complete by then is not answered
+INACTIVITY_LIMITS = InactivityLimits(
+    first_message_us=1_000_000,
+    idle_us=1_000_000,
+    stall_us=1_000_000,
+    message_us=10_000_000,
+)
+ANSWER_TIMEOUT_US = 10_000_000  # for the client to read its answer
 LINGER_TIMEOUT_US = 250_000  # how long bytes beyond the request are read after the answer
 
 
+class OperatorConnection:
+    """The connection of one operator's request."""
+
+    def __init__(self, channel: BufferedSocket, clock: Clock) -> None:
+        self.channel = channel
+        self.activity = ConnectionActivity(INACTIVITY_LIMITS, clock.now())
+        self.scope = trio.CancelScope()
+        self._clock = clock
+
+    async def read_request(self, http: HttpServerConnection) -> HttpRequest | None:
+        """The request, or None if the connection or its time has ended before it was complete."""
+        request = None
+        while request is None and not http.ended:
+            deadline_us = self.activity.deadline_us(has_open_requests=False)
+            assert deadline_us is not None
+            self.scope.deadline = self._clock.monotonic_at(deadline_us)
+            request = http.feed(await self.channel.receive())
+            self.activity.received(self._clock.now(), request is not None, http.has_partial)
+        return request
+
+    async def finish(self) -> None:
+        """Waits until the answer is sent, closes the sending side, and reads for a moment what else arrives."""
+        self.scope.deadline = self._clock.monotonic_at(self._clock.now() + ANSWER_TIMEOUT_US)
+        await self.channel.sent()
+        self.channel.finish()
+        self.scope.deadline = self._clock.monotonic_at(self._clock.now() + LINGER_TIMEOUT_US)
+        while await self.channel.receive():
+            pass
+
+
 class OperatorEndpoint(Component):
-    """Accepts connections, whose requests `api` answers; `connections` is in the order of their accept."""
+    """Accepts connections, whose requests `api` answers."""
 
     descriptors = MAX_CONNECTIONS + 2
 
@@ -37,7 +76,7 @@
         self.write_scheduler = context.write_scheduler
         self._containment = context.containment
         self.address = listener.getsockname()[:2]
-        self.connections: dict[BufferedSocket, trio.CancelScope] = {}
+        self.connections: set[OperatorConnection] = set()
         self.answered = 0
 
     def start(self, nursery: trio.Nursery) -> None:
@@ -50,38 +89,31 @@
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         if len(self.connections) >= MAX_CONNECTIONS:
-            oldest = next(iter(self.connections))
-            self.connections.pop(oldest).cancel()
-            oldest.close()  # frees its descriptor at once, as the new connection already has one
+            replaced = min(self.connections, key=lambda connection: connection.activity.last_activity_us)
+            self.connections.remove(replaced)
+            replaced.scope.cancel()
+            replaced.channel.close()  # frees its descriptor at once, as the new connection already has one
         channel = BufferedSocket(set_socket_options(sock), nursery, self.write_scheduler)
-        scope = trio.CancelScope(deadline=self._deadline_in(REQUEST_TIMEOUT_US))
-        self.connections[channel] = scope
-        nursery.start_soon(self._serve_client, channel, scope)
+        connection = OperatorConnection(channel, self.clock)
+        self.connections.add(connection)
+        nursery.start_soon(self._serve_client, connection)
 
-    async def _serve_client(self, channel: BufferedSocket, scope: trio.CancelScope) -> None:
+    async def _serve_client(self, connection: OperatorConnection) -> None:
         try:
-            with self._containment.contain("operator"), scope:
-                await self._answer(channel, scope)
+            with self._containment.contain("operator"), connection.scope:
+                await self._answer(connection)
         finally:
-            self.connections.pop(channel, None)
-            channel.close()
+            self.connections.discard(connection)
+            connection.channel.close()
 
-    async def _answer(self, channel: BufferedSocket, scope: trio.CancelScope) -> None:
+    async def _answer(self, connection: OperatorConnection) -> None:
         http = HttpServerConnection()
-        request = None
-        while request is None and not http.ended:
-            request = http.feed(await channel.receive())
+        request = await connection.read_request(http)
         if request is not None:
-            channel.write(http.respond(*self.api.answer(request), close=True))
+            connection.channel.write(http.respond(*self.api.answer(request), close=True))
             self.answered += 1
         elif http.error_response:
-            channel.write(http.error_response)
+            connection.channel.write(http.error_response)
         else:
             return
-        channel.finish()
-        scope.deadline = self._deadline_in(LINGER_TIMEOUT_US)
-        while await channel.receive():
-            pass
-
-    def _deadline_in(self, delay_us: int) -> float:
-        return self.clock.monotonic_at(self.clock.now() + delay_us)
+        await connection.finish()
