--- a/tests/test_slow_coordinator.py
+++ b/tests/test_slow_coordinator.py
@@ -5,7 +5,7 @@
 
 from rookbend.net.coordinator_calls import MAX_UNANSWERED_CALLS
 from tests.director_scenario import run_with_director
-from tests.scripted_coordinator import HEAD, ScriptedCoordinator, chunk, member_change
+from tests.scripted_coordinator import HEAD, ScriptedCoordinator, chunk, event, member_change
 
 DRAIN_IS_KNOWN = """
     director wait 0.01
@@ -13,6 +13,7 @@
     upper expect do rid=0000000000000001
     cache1 expect nothing
 """
+MOST_MEMBERS = 3_200  # of a fleet (docs of the platform)
 EVENTS_COUNT_AS_DELIVERED_S = 7  # whether they have arrived or not (docs of the platform)
 
 
@@ -52,6 +53,24 @@
     run_with_director(check)
 
 
+def test_the_longest_list_is_applied_although_its_bytes_arrive_slowly():
+    async def check(harness):
+        coordinator = await ScriptedCoordinator(harness).open()
+        _, _, stream = await coordinator.next_call()
+        template = coordinator.members("cache1")[0]
+        rows = [{**template, "id": f"cache-{number:08x}"} for number in range(MOST_MEMBERS)]
+        update = event(2, {"endpoints": {"revision": 1, "complete": True, "members": rows}})
+        await stream.send_all(HEAD)
+        for offset in range(0, len(update), len(update) // 10):
+            await trio.sleep(2)
+            await stream.send_all(chunk(update[offset : offset + len(update) // 10]))
+        with trio.fail_after(1):
+            while len(harness.service.engine.endpoints) != MOST_MEMBERS:
+                await trio.sleep(0.01)
+
+    run_with_director(check)
+
+
 def test_a_coordinator_that_never_answers_costs_a_bounded_number_of_connections():
     async def check(harness):
         coordinator = await ScriptedCoordinator(harness).open()
