A late duplicate of an answer is not taken for the next attempt's on the last connection

Cause: an id answered on a connection is passed over for it, but used all the same as the last resort, and answers are matched by id.

Evidence: the record of a run: `do`, refused, `do`, the second copy 6.5 ms later, `do` 0.5 ms after it, and two runs. Ruled out: a repeat by the client, and a repeat by the routing module of what may have run (it was told "refused" twice).

Change: an answer other than a success, to an attempt whose id was answered on that connection before, proves nothing: the attempt is cancelled at the member and counts as one that may have run, so that nothing starts beside it (counter `ambiguous`).

--- a/rookbend/core/counters.py
+++ b/rookbend/core/counters.py
@@ -45,6 +45,7 @@
     requests_dropped: int = 0  # open when the director ended their client's connection, so without an answer
     connects: int = 0  # connections opened to members
     garbage: int = 0  # connections to members closed for answers that can't be parsed
+    ambiguous: int = 0  # attempts ended by an answer that may be a duplicate of an earlier attempt's
     peer_messages: int = 0
     written: int = 0  # attempts written in full to members
     reloads_ok: int = 0  # SIGHUP: configuration applied
--- a/rookbend/net/connection_set.py
+++ b/rookbend/net/connection_set.py
@@ -58,7 +58,7 @@
                 continue
             if connection.accepts(request_id) and not connection.closed_by_peer():
                 if request_id in connection.answered_ids:
-                    answered_before = connection  # a duplicate of that answer would be taken for this attempt's answer
+                    answered_before = connection  # see `MemberPool._end_ambiguous`
                     continue
                 if len(connection.in_flight) < max_in_flight:
                     return connection
--- a/rookbend/net/member_connection.py
+++ b/rookbend/net/member_connection.py
@@ -36,11 +36,15 @@
 
 @dataclass(slots=True)
 class InFlightAttempt:
-    """An attempt written to a connection, and the position of its bytes in the stream written there."""
+    """An attempt written to a connection, and the position of its bytes in the stream written there.
+
+    `id_was_answered`: an earlier attempt with the same id was answered on this connection.
+    """
 
     attempt: Attempt
     start_byte: int
     end_byte: int
+    id_was_answered: bool
 
 
 class ConnectionOwner(Protocol):
@@ -125,7 +129,8 @@
     def send(self, attempt: Attempt, data: bytes, now_us: int) -> None:
         """Writes the attempt's command."""
         start = self.socket.accepted_bytes
-        self.in_flight[attempt.request.request_id] = InFlightAttempt(attempt, start, start + len(data))
+        request_id = attempt.request.request_id
+        self.in_flight[request_id] = InFlightAttempt(attempt, start, start + len(data), request_id in self.answered_ids)
         self.last_used_us = now_us
         self.state = _ACTIVE
         attempt.connection = self
--- a/rookbend/net/member_pool.py
+++ b/rookbend/net/member_pool.py
@@ -165,8 +165,11 @@
         """Settles the answered attempts."""
         connections, context = self.connections, self.context
         for answer in answers:
-            pending = connection.in_flight.pop(answer.request_id, None)
-            if pending is not None:
+            pending = connection.in_flight.get(answer.request_id)
+            if pending is not None and pending.id_was_answered and answer.result.status is not AttemptStatus.OK:
+                self._end_ambiguous(connection, pending.attempt)
+            elif pending is not None:
+                del connection.in_flight[answer.request_id]
                 remember(connection.answered_ids, answer.request_id)
                 context.counters.written += 1
                 if (
@@ -179,6 +182,17 @@
                 context.engine.finished(attempt, answer.result_for(attempt.request.known_version))
             # Otherwise a duplicate, an unknown id, or the answer to a cancelled attempt: ignored.
 
+    def _end_ambiguous(self, connection: MemberConnection, attempt: Attempt) -> None:
+        """Ends an attempt whose id was answered on this connection before, after an answer that is no success.
+
+        That may be a late duplicate of the earlier answer while the attempt runs, so it proves nothing. The attempt is
+        cancelled, and counts as one that may have run.
+        """
+        status = self.cancel(connection, attempt)
+        self.context.counters.ambiguous += 1
+        is_unsent = status is AttemptStatus.CONNECT_FAILED
+        self.context.engine.finished(attempt, AttemptResult(status if is_unsent else AttemptStatus.ERROR))
+
     def read_processed(self, connection: MemberConnection) -> None:
         """Writes waiting attempts; closes the connection if it is no longer used."""
         if self.waiting:
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -87,6 +87,31 @@
     run_with_director(check)
 
 
+@pytest.mark.parametrize(
+    "traffic_class, member, others", [("form", "records", ["cache1"]), ("video", "cache1", ["upper", "records"])]
+)
+def test_a_duplicate_refusal_on_the_only_connection_starts_no_attempt_beside_the_running_one(
+    traffic_class, member, others
+):
+    # Guards against a submission that runs twice: a late copy of a refusal was taken for the next attempt's (review/1).
+    async def check(harness):
+        harness.service.pool.max_connections = 1
+        actor = harness.actors[member]
+        await harness.play(f"""
+            client send request 1 {traffic_class} budget=3000
+            {member} expect do rid=0000000000000001
+            {member} send refused note=denied
+            {member} expect do rid=0000000000000001
+            {member} send refused note=denied
+            {member} expect undo rid=0000000000000001
+        """)
+        assert len(actor.streams) == 1 and harness.service.counters.ambiguous == 1
+        if traffic_class == "form":  # the attempt may have run, so the write is not repeated
+            await harness.play(f"client expect failed 1\n{member} expect nothing")
+
+    run_with_director(check, members=(member, *others))
+
+
 @pytest.mark.parametrize("fields", ["current sum=bb t0=1", "current t0=1"])
 def test_a_copy_is_confirmed_only_if_the_answer_names_its_version(fields):
     play(f"""
