The benchmark of health measures a turn until a request was served

Change: `OpenLoopClient.served_since` waits for the first served request, 60 s at most.

Measured: the new test of a turn without a served request needs the change (the method is new).

--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -139,8 +139,8 @@
                 await trio.sleep(1.5)
                 begun, cpu_before = time.monotonic(), node.cpu_s()
                 await trio.sleep(seconds)
+                times = await clients.served_since(begun)
                 used = node.cpu_s() - cpu_before
-                times = [elapsed_s * 1000 for due, elapsed_s, code in clients.timings if due >= begun and code == 0]
                 p99[percent].append(percentile(times, 0.99))
                 median[percent].append(percentile(times, 0.5))
                 cpu[percent].append(used / len(times) * 1e6)
--- a/rookbend/testing/open_loop_client.py
+++ b/rookbend/testing/open_loop_client.py
@@ -10,8 +10,11 @@
 
 import trio
 
+SERVED = 0  # a response's code
 REQUEST_FRAME = 7
 MAX_REQUESTS_IN_FLIGHT = 32  # on one connection, by the protocol
+FIRST_SERVED_TIMEOUT_S = 60.0
+_SERVED_POLL_S = 0.05
 _BOUND_RETRY_S = 0.001
 _LENGTH_BYTES = 4
 
@@ -76,6 +79,19 @@
         }
         return encode_frame(REQUEST_FRAME, stream, fields)
 
+    async def served_since(self, begun_s: float) -> list[float]:
+        """The durations, in milliseconds, of the served requests that were due at `begun_s` or later.
+
+        Waits until there is one, since a busy machine may serve none within a short measurement. Raises
+        trio.TooSlowError if there is none for FIRST_SERVED_TIMEOUT_S.
+        """
+        with trio.fail_after(FIRST_SERVED_TIMEOUT_S):
+            while True:
+                served = [timing for timing in self.timings if timing.due_s >= begun_s and timing.code == SERVED]
+                if served:
+                    return [timing.duration_s * 1000 for timing in served]
+                await trio.sleep(_SERVED_POLL_S)
+
     async def _receive(self, connection: trio.SocketStream) -> None:
         data = b""
         async for block in connection:
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -6,6 +6,10 @@
 from pathlib import Path
 
 import pytest
+import trio
+import trio.testing
+
+from rookbend.testing.open_loop_client import SERVED, OpenLoopClient, RequestTiming
 
 ROOT = Path(__file__).parent.parent
 BENCHMARKS = sorted(p.stem for p in (ROOT / "benchmarks").glob("*.py") if "__main__" in p.read_text(encoding="utf-8"))
@@ -23,3 +27,20 @@
 
 def test_the_benchmarks_are_found():
     assert {"fleet", "health"} <= set(BENCHMARKS)
+
+
+def test_a_turn_without_a_served_request_waits_for_the_first_one():
+    # Guards against a division by zero in a short turn on a busy machine.
+    client = OpenLoopClient(("127.0.0.1", 0), rate=1.0, objects=["0"], seed=1)
+    client.timings = [RequestTiming(1.0, 0.5, SERVED), RequestTiming(3.0, 0.5, SERVED + 1)]
+
+    async def serve_later():
+        await trio.sleep(10)
+        client.timings.append(RequestTiming(3.0, 0.25, SERVED))
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_later)
+            return await client.served_since(2.0)
+
+    assert trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)) == [250.0]
