--- a/rookbend/cli/demo.py
+++ b/rookbend/cli/demo.py
@@ -31,7 +31,13 @@
     )
     parser.add_argument("--seed", type=int, default=7, help="seed of the random choices (default %(default)s)")
     parser.add_argument("--calm", type=float, default=8.0, metavar="S", help="seconds before the power loss")
-    parser.add_argument("--after", type=float, default=20.0, metavar="S", help="seconds observed after power returns")
+    parser.add_argument(
+        "--after",
+        type=float,
+        default=20.0,
+        metavar="S",
+        help="seconds observed after power returns, longer if a director is admitted later",
+    )
     parser.add_argument("--json", action="store_true", help="print the report as one JSON object, no table")
     parser.add_argument("--keep", type=Path, metavar="DIR", help="keep configurations and logs in DIR")
 
--- a/rookbend/testing/demo.py
+++ b/rookbend/testing/demo.py
@@ -8,13 +8,14 @@
 
 import tempfile
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from importlib.util import find_spec
 from pathlib import Path
 
 import trio
 
-from rookbend.testing.cluster import ProcessCluster, open_cluster
+from rookbend.testing.cluster import HungProcessError, ProcessCluster, open_cluster
 from rookbend.testing.cluster.record import now_us
 
 REFRESH_INTERVAL_S = 0.5
@@ -37,7 +38,7 @@
     seed: int = 7
     before_outage_s: float = 8.0  # from the first admission to the power loss
     outage_s: float = 2.0
-    after_return_s: float = 20.0  # from the return of power to the report
+    after_return_s: float = 20.0  # at least, from the return of power to the report
     operator_settings: str | None = None  # None: `default_operator_settings`
 
 
@@ -76,6 +77,8 @@
                 self.power_back_us, self.phase = now_us(), "power restored"
                 await cluster.power_on()
                 await trio.sleep(plan.after_return_s)
+                with suppress(HungProcessError):  # the report then lacks the director
+                    await cluster.wait_until_admitted()
                 nursery.cancel_scope.cancel()
             self.on_progress("ended", self.rows(cluster))
         return self.report(cluster)
