Read-through: a whole request is no unfinished one; an unused return value goes

`HttpServerConnection.has_partial` said true until a whole request was answered, so that the limit of an unfinished request was set behind each; no effect was seen, since the idle limit is as long.

Measured: 80 tests of the listeners pass.

--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -183,10 +183,8 @@
         """Notifies the client to send no new request on this connection."""
         self.write(frames.write_goaway())
 
-    def connection_lost(self) -> int:
-        """Cancels all requests, since the connection has ended; returns how many were open."""
+    def connection_lost(self) -> None:
+        """Cancels all requests, since the connection has ended."""
         self._queued.clear()
-        streams = list(self.open_streams)
-        for stream in streams:
+        for stream in list(self.open_streams):
             self.front.engine.cancel(self.open_streams.pop(stream, None))
-        return len(streams)
--- a/rookbend/protocol/http_server.py
+++ b/rookbend/protocol/http_server.py
@@ -46,8 +46,9 @@
 
     @property
     def has_partial(self) -> bool:
-        """Whether an incomplete request was received."""
-        return self._request is not None or bool(self._http.trailing_data[0])
+        """Whether a request was received in part, and `feed` has not returned it yet."""
+        is_receiving = self._http.their_state is h11.SEND_BODY
+        return is_receiving or bool(self._http.trailing_data[0])
 
     def feed(self, data: bytes) -> HttpRequest | None:
         """Takes received bytes, empty at the end of the connection; returns a request once it is complete."""
