Clients that write their first frame for ever give way to new clients

Callers would have seen (by a test with a real process, 200 such clients on 42 places): a new client waited for over 20 s.

What protects a newcomer's place for 250 ms counted from its last byte, not from its accept; together with the longer time for a frame that makes progress (30 s), a client that writes a byte now and then kept its place for so long. The test of for this showed nothing: its bytes made an invalid frame, and it had no bound of time.

Change: the protection counts from the accept (`ConnectionActivity.opened_us`).

All 20 new clients are served, and 200 clients that each hold most of the longest request cost less memory than the places times twice its size.

--- a/rookbend/core/inactivity.py
+++ b/rookbend/core/inactivity.py
@@ -29,10 +29,11 @@
 class ConnectionActivity:
     """What has arrived and was answered on one connection, as far as its end by inactivity depends on it."""
 
-    __slots__ = ("has_received_message", "last_activity_us", "limits", "message_since_us")
+    __slots__ = ("has_received_message", "last_activity_us", "limits", "message_since_us", "opened_us")
 
     def __init__(self, limits: InactivityLimits, now_us: int) -> None:
         self.limits = limits
+        self.opened_us = now_us
         self.has_received_message = False
         self.last_activity_us = now_us  # the last byte received or the last answer
         self.message_since_us = 0  # the first byte of the unfinished message; 0 if there is none
@@ -65,6 +66,10 @@
         """Sorts connections without an open request: those that matter least to their peers come first."""
         return self.is_receiving(since_us), self.has_received_message, self.last_activity_us
 
+    def is_new(self, since_us: int) -> bool:
+        """Whether it was opened after `since_us`, and no message has arrived yet."""
+        return not self.has_received_message and self.opened_us > since_us
+
     def is_receiving(self, since_us: int) -> bool:
         """Whether a message is unfinished and the last byte or answer came after `since_us`."""
         return bool(self.message_since_us) and self.last_activity_us > since_us
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -91,15 +91,11 @@
         return False
 
     def _idle_clients(self, new_clients_since_us: int) -> list[ClientConnection]:
-        """The clients without a pending answer, except those that connected since then and have sent nothing."""
+        """The clients without a pending answer, except those that connected since then and have sent no request."""
         return [
             client
             for client in self.open
-            if client.is_idle()
-            and (
-                client.session.activity.has_received_message
-                or client.session.activity.last_activity_us <= new_clients_since_us
-            )
+            if client.is_idle() and not client.session.activity.is_new(new_clients_since_us)
         ]
 
     async def watch_clients(self) -> None:
--- a/tests/test_full_descriptors.py
+++ b/tests/test_full_descriptors.py
@@ -1,15 +1,18 @@
-"""A director process whose file descriptors are nearly used up by idle clients while discovery is down."""
+"""A director process whose file descriptors are nearly used up by clients that are idle or write for ever."""
 
 import resource
+from contextlib import suppress
 
 import trio
 
+from rookbend.protocol.client_frames import MAX_BUFFERED_BYTES
 from rookbend.testing.director_process import DirectorProcess, find_free_port, running_directors
 from rookbend.testing.measurement_fleet import open_fleet
 from rookbend.testing.open_loop_client import encode_frame
 
 SOCKETS = 128
 IDLE = 200
+MAX_CLIENTS = SOCKETS // 3
 TIMEOUT_S = 20
 
 
@@ -72,3 +75,34 @@
                     await client.stream.aclose()
 
     trio.run(main)
+
+
+async def write_for_ever(client):
+    """Writes most of the longest request that is buffered, then a byte at a time, until the director closes."""
+    with suppress(trio.BrokenResourceError):
+        await client.stream.send_all(MAX_BUFFERED_BYTES.to_bytes(4, "big") + bytes([7, 0, 0, 0, 1]) + bytes(60_000))
+        while True:
+            await trio.sleep(0.15)
+            await client.stream.send_all(b"\0")
+
+
+def test_clients_that_write_for_ever_do_not_block_new_clients_and_hold_bounded_memory(tmp_path):
+    async def main():
+        async with open_fleet(caches=2) as fleet:
+            port = find_free_port()
+            config = fleet.director_config(False, port)
+            config["limits"]["sockets"] = SOCKETS
+            director = DirectorProcess(".", tmp_path, config)
+            async with running_directors(director), trio.open_nursery() as nursery:
+                resource.prlimit(director.process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+                assert await (await connect(port)).answer_code(7, request_fields(1)) == 0
+                resident_kb = director.resident_kb()
+                for _ in range(IDLE):
+                    nursery.start_soon(write_for_ever, await connect(port))
+                for number in range(2, 22):
+                    newcomer = await connect(port)
+                    assert await newcomer.answer_code(7, request_fields(number)) == 0
+                    assert director.resident_kb() - resident_kb <= MAX_CLIENTS * 2 * MAX_BUFFERED_BYTES / 1024
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- a/tests/test_open_requests_kept.py
+++ b/tests/test_open_requests_kept.py
@@ -15,6 +15,7 @@
 from tests.raw_client import SERVED, RawClient, request
 
 FORM = encode_frame(7, 2, {"method": "form", "obj": OBJ, "budget": "1500", "rid": f"{2:016x}"}, b"x" * 4000)
+LONGEST_FRAME_HEADER = MAX_BUFFERED_BYTES.to_bytes(4, "big") + b"\x07\0\0\0\x02"
 OPEN_REQUEST = "client send request 1 video budget=20000\ncache1 expect do rid=0000000000000001"
 SERVE_IT = "cache1 send ok note=mem body=hello\nclient expect served 1 hello"
 SERVE_FORM = "records expect do rid=0000000000000002\nrecords send ok body=done\nclient expect served 2 done"
@@ -172,9 +173,8 @@
         listener, actor = harness.service.client_listener, harness.actors["client"]
         await (harness.play(OPEN_REQUEST.replace("20000", "5000")) if open_request else actor.open())
         began = trio.current_time()
-        header = (MAX_BUFFERED_BYTES).to_bytes(4, "big") + b"\x07\0\0\0\x02"
         with pytest.raises(trio.BrokenResourceError):
-            await actor.streams[-1].send_all(header)
+            await actor.streams[-1].send_all(LONGEST_FRAME_HEADER)
             while trio.current_time() - began < 60:
                 await actor.streams[-1].send_all(bytes(500))
                 await trio.sleep(0.5)
@@ -185,6 +185,7 @@
 
 
 def test_clients_that_write_for_ever_do_not_keep_new_clients_out():
+    # Guards against bytes of an unfinished first frame that protect their client's place as those of a newcomer.
     async def check(harness):
         listener, client = harness.service.client_listener, harness.actors["client"]
         listener.max_clients = 4
@@ -192,16 +193,18 @@
 
         async def write_for_ever(stream):
             with pytest.raises(trio.BrokenResourceError):
+                await stream.send_all(LONGEST_FRAME_HEADER)
                 while True:
-                    await stream.send_all(b"\0")
                     await trio.sleep(0.2)
+                    await stream.send_all(b"\0")
 
         for stream in writers:
             harness.nursery.start_soon(write_for_ever, stream)
         await trio.sleep(1)
+        began = trio.current_time()
         await client.open()
         await harness.play("client send ready? 9\nclient expect ready")
-        assert len(listener.open) <= 4
+        assert len(listener.open) <= 4 and trio.current_time() - began < 1
 
     run_with_director(check)
 
