--- a/rookbend/net/http_server.py
+++ b/rookbend/net/http_server.py
@@ -15,7 +15,7 @@
     first_message_us=10_000_000,
     idle_us=10_000_000,
     stall_us=10_000_000,
-    message_us=30_000_000,
+    message_us=10_000_000,
 )
 
 HttpHandler = Callable[[HttpRequest], HttpResponse | Awaitable[HttpResponse]]
