The test of a cut link cuts it only once the director's stream is up

Its record shows no call at the coordinator before the cut: a director is admitted on its known list, so the link was cut before its first call, by chance.

Change: a purge is told first, and the cut follows once both directors count it. The assertions are as they were.

--- a/tests/test_process_cluster.py
+++ b/tests/test_process_cluster.py
@@ -9,7 +9,7 @@
 import trio
 
 from rookbend.testing.cluster import open_cluster
-from rookbend.testing.cluster.process import SHIM, Node
+from rookbend.testing.cluster.process import HANG_TIMEOUT_S, SHIM, Node
 from rookbend.testing.cluster.record import Record
 from rookbend.testing.cluster.relay import Links, UdpRelay
 from rookbend.testing.fault_timeline_format import format_faults, parse_faults
@@ -34,11 +34,21 @@
     trio.run(main)
 
 
+async def wait_until_purged(cluster):
+    """Waits until every director has received a purge, so that its stream is known to be up."""
+    cluster.coordinator.purge(group=0)
+    for name in cluster.names:
+        with trio.fail_after(HANG_TIMEOUT_S):
+            while "rookbend_purges_total 1.0" not in (await cluster.admin_request(name, "/metrics"))["text"]:
+                await trio.sleep(0.02)
+
+
 def test_a_cut_link_delivers_nothing_until_it_heals_and_a_frozen_director_resumes():
     async def main():
         async with open_cluster(directors=2, caches=2) as cluster:
             await cluster.start()
             await cluster.wait_until_admitted()
+            await wait_until_purged(cluster)
             cluster.cut("coordinator", "n0")
             cluster.freeze("n1")
             cluster.members["c0"].draining = True
