Read-through: a parameter that nobody passes goes, a comment says what the limit is

`ClientConnection.drop` took a time-out that no caller gives. `first_message_us` ends with the first byte; within a message `stall_us` holds, also within the first one. Behaviour is as it was.

--- a/rookbend/core/inactivity.py
+++ b/rookbend/core/inactivity.py
@@ -20,7 +20,7 @@
 class InactivityLimits:
     """The limits of one kind of listener, in microseconds."""
 
-    first_message_us: int  # from the connect to the first byte, or between bytes until the first message is complete
+    first_message_us: int  # from the connect to the first byte of a message
     idle_us: int  # without a byte received or an answer, between two messages
     stall_us: int  # the same within a message
     message_us: int  # from the first byte of a message to its last
--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -149,10 +149,10 @@
             self.finish(timeout_us)
         return True
 
-    def drop(self, reason: DropReason, timeout_us: int = FINISH_TIMEOUT_US) -> None:
-        """Ends the connection of a client that misbehaves; see `finish` for `timeout_us`."""
+    def drop(self, reason: DropReason) -> None:
+        """Ends the connection of a client that misbehaves; see `finish`."""
         self._count_drop(reason)
-        self.finish(timeout_us)
+        self.finish()
 
     def abort(self, reason: DropReason) -> None:
         """Ends the connection at once, without its unsent answers."""
