--- a/rookbend/routing/fill_queue.py
+++ b/rookbend/routing/fill_queue.py
@@ -23,25 +23,32 @@
 
     def __init__(self, open_requests: dict[int, Request]) -> None:
         self.open_requests = open_requests
-        self.waiting: list[Request] = []
+        self.waiting: dict[Request, None] = {}
 
     def admits(self, request: Request, now_us: int) -> bool:
         """Whether a request may wait: it is open, has no attempt in flight, and can be on time."""
         return request.id in self.open_requests and request.attempt is None and can_be_on_time(request, now_us)
 
+    def add(self, request: Request) -> None:
+        """Let a request wait."""
+        self.waiting[request] = None
+
+    def has(self, request: Request) -> bool:
+        """Whether a request waits."""
+        return request in self.waiting
+
     def take_best(self, now_us: int) -> Request | None:
         """Remove and return the request with the highest `priority` among those that can be on time."""
         candidates = [request for request in self.waiting if self.admits(request, now_us)]
         if not candidates:
             return None
         best = max(candidates, key=priority)
-        self.waiting.remove(best)
+        self.discard(best)
         return best
 
     def discard(self, request: Request) -> None:
         """Remove a request if it waits."""
-        if request in self.waiting:
-            self.waiting.remove(request)
+        self.waiting.pop(request, None)
 
 
 def priority(request: Request) -> float:
--- a/rookbend/routing/request_collapsing.py
+++ b/rookbend/routing/request_collapsing.py
@@ -23,17 +23,20 @@
         if len(self.fills) >= self.max_fills:
             return False
         fill = CollapsedFill(leader, now_us)
-        self.fills[leader.key] = fill
-        leader.collapsed_fill = fill
-        leader.is_leader = True
+        self._set_leader(fill, leader)
         for waiter in waiters:
             self.wait(waiter, fill)
         return True
 
+    def _set_leader(self, fill: CollapsedFill, leader: Request) -> None:
+        self.fills[leader.key] = fill
+        leader.collapsed_fill = fill
+        leader.is_leader = True
+
     def wait(self, request: Request, fill: CollapsedFill) -> None:
         """Make a request a waiter of a fill."""
         request.collapsed_fill = fill
-        fill.waiters.append(request)
+        fill.waiters[request] = None
 
     def discard(self, key: ObjectKey) -> None:
         """Remove a fill from the table, so that no more requests wait for it; its leader continues."""
@@ -42,8 +45,8 @@
     def stop_waiting(self, request: Request) -> None:
         """Remove a waiter from its fill."""
         fill = request.collapsed_fill
-        if fill is not None and request in fill.waiters:
-            fill.waiters.remove(request)
+        if fill is not None:
+            fill.waiters.pop(request, None)
         request.collapsed_fill = None
 
     def end(self, leader: Request) -> CollapsedFill | None:
@@ -55,6 +58,16 @@
             return None
         return self.fills.pop(leader.key)
 
+    def hand_over(self, leader: Request, now_us: int) -> Request | None:
+        """Make the oldest waiter the leader in place of `leader`; returns it, or None where the fill has no waiter."""
+        fill = self.end(leader)
+        if fill is None or not fill.waiters:
+            return None
+        successor, _ = fill.waiters.popitem(last=False)
+        fill.restart(successor, now_us)
+        self._set_leader(fill, successor)
+        return successor
+
 
 def max_wait_us(request: Request, now_us: int) -> float:
     """Longest wait in microseconds for another request's fill that meets the own objective; 0 or below: none."""
--- a/rookbend/routing/request_lifecycle.py
+++ b/rookbend/routing/request_lifecycle.py
@@ -99,18 +99,23 @@
         self.send(request)
 
     def send(self, request: Request, server: int | None = None, source: int | None = None) -> None:
-        """Send a read, to `server` and to fill from `source` where these are given and can take it."""
+        """Send a read, to `server` and to fill from `source` where these are given and can take it, or reject it."""
+        if not self._send_or_queue(request, server, source):
+            self.reject(request)
+
+    def _send_or_queue(self, request: Request, server: int | None = None, source: int | None = None) -> bool:
+        """Send a read or let it wait for fill capacity; returns False where it has to be rejected."""
         denial = self.reads.send(request, server, source, self.now_us, self.actions)
         if denial is None:
-            return
+            return True
         if denial is Denial.NO_FILL_CAPACITY and self.fill_queue.admits(request, self.now_us):
             self._queue(request)
-        else:
-            self.reject(request)
+            return True
+        return False
 
     def _queue(self, request: Request) -> None:
         """Wait until a fill may start, as long as the request can be on time."""
-        self.fill_queue.waiting.append(request)
+        self.fill_queue.add(request)
         wait_us = latest_start_us(request) - self.now_us + ROUND_UP_US
         self.actions.append(self.timers.start(wait_us, request))
 
@@ -133,7 +138,7 @@
             return
         if request.collapsed_fill is not None and not request.is_leader:
             self._stop_waiting(request, request.collapsed_fill)
-        elif request in self.fill_queue.waiting:
+        elif self.fill_queue.has(request):
             self.reject(request)
         elif request.is_write:
             self.send_write(request)
@@ -179,10 +184,15 @@
             self.send(waiter, attempt.server, attempt.source)
 
     def promote_waiter(self, leader: Request) -> None:
-        """Let the oldest waiter lead in place of a leader that was not served; it selects its own cache and source."""
-        fill = self.collapser.end(leader)
-        if fill is not None and fill.waiters:
-            self.lead(fill.waiters.popleft(), fill.waiters)
+        """Let the oldest waiter lead in place of a leader that was not served; it selects its own cache and source.
+
+        Waiters that can't be sent are rejected here, one after the other: `reject` would call this method again for
+        each of them, and a fill may have more waiters than the call stack has room for.
+        """
+        successor = self.collapser.hand_over(leader, self.now_us)
+        while successor is not None and not self._send_or_queue(successor):
+            self._answer_rejected(successor)
+            successor = self.collapser.hand_over(successor, self.now_us)
 
     def detach(self, request: Request) -> None:
         """Remove a request from the fill queue and from the fill that it leads or waits for."""
@@ -211,6 +221,9 @@
 
     def reject(self, request: Request) -> None:
         """Give a request its final answer at once, where no attempt can be made."""
+        self._answer_rejected(request)
+        self.detach(request)
+
+    def _answer_rejected(self, request: Request) -> None:
         self._close(request)
         self.actions.append(self.admission.final_answer(request))
-        self.detach(request)
--- a/rookbend/routing/request_state.py
+++ b/rookbend/routing/request_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from rookbend.interface import Member, RequestArrived, TrafficClass
@@ -72,10 +72,17 @@
 
     leader: Request
     started_us: int
-    waiters: deque[Request] = field(default_factory=deque)
+    waiters: OrderedDict[Request, None] = field(default_factory=OrderedDict)  # oldest first
     server: int | None = None
     source: int | None = None
 
+    def restart(self, leader: Request, now_us: int) -> None:
+        """Begin anew under another leader, which has no cache and source yet; the waiters stay."""
+        self.leader = leader
+        self.started_us = now_us
+        self.server = None
+        self.source = None
+
 
 def new_request(event: RequestArrived, traffic_class: TrafficClass) -> Request:
     """The state of a request that has just arrived, without its estimates."""
