--- a/rookbend/components/admin.py
+++ b/rookbend/components/admin.py
@@ -37,7 +37,7 @@
     )
 
     async def serve_client(channel: BufferedSocket) -> None:
-        await serve_http(channel, api.answer, context.clock)
+        await serve_http(channel, api.answer, context.clock, server.exchange)
 
     server = BoundedServer(context, "admin", settings.listen, serve_client)
     context.built["admin"] = server
--- a/rookbend/fronts/dns.py
+++ b/rookbend/fronts/dns.py
@@ -16,7 +16,8 @@
 import dns.rcode
 
 from rookbend.core.engine import Engine
-from rookbend.core.model import Answer, FinalOutcome, Request
+from rookbend.core.model import Request
+from rookbend.fronts.dns_completion import LookupCompletion
 from rookbend.fronts.dns_lookups import (
     MAX_LOOKUPS,
     ClientAddress,
@@ -29,7 +30,7 @@
     Waiter,
     WaiterKey,
 )
-from rookbend.fronts.dns_outcomes import issued_name, outcome_without_member, refused_outcome, restored_lookup
+from rookbend.fronts.dns_outcomes import refused_outcome, restored_lookup
 from rookbend.interface import Idempotency
 from rookbend.protocol.coordinator_stream import object_number
 from rookbend.protocol.dns import (
@@ -37,7 +38,6 @@
     Lookup,
     LookupOutcome,
     NoReplyError,
-    address_type,
     build_reply,
     parse_query,
 )
@@ -67,9 +67,8 @@
         self.engine = engine
         self.table = LookupTable(max_lookups)
         self.closing = False
-        self._resolver = resolver
+        self.completion = LookupCompletion(engine, resolver, target_format, issued_names)
         self._zone = dns.name.from_text(zone)
-        self._target_format = target_format
         self._budget_us = budget_us
         self._random = random.Random(seed)
         self._issued_names = issued_names
@@ -138,6 +137,7 @@
             now_us + RETRY_WINDOW_DEADLINES * class_deadline_us,
         )
         self.table.by_key[key] = routed
+        self.completion.in_progress[routed] = None
         return routed
 
     def _submit(self, routed: RoutedLookup, lookup: Lookup, class_index: int, now_us: int) -> None:
@@ -153,7 +153,7 @@
         )
 
         def submit() -> None:
-            self.engine.submit(request, partial(self._on_answer, routed))
+            self.engine.submit(request, partial(self.completion.answered, routed))
 
         if routed.write_id and self._issued_names is not None:
             # Persisted before the write can run: a later incarnation must not take a repeat for a new write.
@@ -166,7 +166,7 @@
             # The request id is in use with another name: whether this write has run is unknown, so it is not run.
             respond(build_reply(lookup.query, LookupOutcome(dns.rcode.SERVFAIL, note="request id in use")))
         elif routed.outcome is not None:
-            self._reply(routed, routed.outcome, Waiter(lookup.query, respond))
+            self.completion.reply(routed, routed.outcome, Waiter(lookup.query, respond))
         elif routed.can_wait(waiter_key):
             routed.waiters[waiter_key] = Waiter(lookup.query, respond)  # a retransmitted datagram gets one reply
         else:
@@ -191,58 +191,3 @@
         """The lookup of a write that an earlier incarnation has replied to; None if there is none."""
         issued = self._issued_names.find(write_id) if self._issued_names is not None else None
         return restored_lookup(issued, write_id) if issued is not None else None
-
-    def _on_answer(self, routed: RoutedLookup, answer: Answer) -> None:
-        if answer.outcome is FinalOutcome.REJECTED:
-            self._complete(routed, refused_outcome(answer.retry_after_us))
-            return
-        if answer.outcome is FinalOutcome.FAILED:
-            self._complete(routed, LookupOutcome(dns.rcode.SERVFAIL, note="failed"))
-            return
-        member = self.engine.endpoints.get(answer.server)
-        if member is None:
-            self._complete(routed, outcome_without_member(routed, "its box has left"))
-            return
-        target = self._target_format.format(id=member.name)
-        self._resolver.resolve(
-            target,
-            address_type(member.address[0]),
-            routed.deadline_us,
-            partial(self._on_resolved, routed, answer.server, target),
-        )
-
-    def _on_resolved(self, routed: RoutedLookup, server: int, target: str, addresses: list[str] | None) -> None:
-        member = self.engine.endpoints.get(server)
-        if addresses is None:
-            outcome = outcome_without_member(routed, f"{target} can't be resolved")
-        elif member is None or member.address[0] not in addresses:
-            # The resolver is not authoritative: its addresses must include the member's address in the membership.
-            outcome = outcome_without_member(routed, f"{target} has no address in service")
-        else:
-            outcome = LookupOutcome(dns.rcode.NOERROR, server, target, member.address[0])
-        self._complete(routed, outcome)
-
-    def _complete(self, routed: RoutedLookup, outcome: LookupOutcome) -> None:
-        reply = partial(self._reply_to_all, routed, outcome)
-        if routed.write_id and self._issued_names is not None:
-            # Persisted before it is sent, so that only an outcome that no client has received can be lost.
-            self._issued_names.persist(routed.write_id, issued_name(routed, outcome), routed.deadline_us, reply)
-        else:
-            reply()
-
-    def _reply_to_all(self, routed: RoutedLookup, outcome: LookupOutcome) -> None:
-        routed.outcome = outcome
-        waiters = routed.waiters
-        routed.waiters = {}
-        for waiter in waiters.values():
-            self._reply(routed, outcome, waiter)
-
-    def _reply(self, routed: RoutedLookup, outcome: LookupOutcome, waiter: Waiter) -> None:
-        """Checks the membership once more, immediately before the reply."""
-        if outcome.server and not self.engine.is_in_service(outcome.server):
-            # The member has left since its answer, or since the first reply.
-            if routed.write_id:
-                outcome = outcome_without_member(routed, "its box has left")
-            else:
-                outcome = refused_outcome(self.engine.settings.max_retry_after_us)
-        waiter.respond(build_reply(waiter.query, outcome))
--- a/rookbend/fronts/dns_lookups.py
+++ b/rookbend/fronts/dns_lookups.py
@@ -49,15 +49,29 @@
 
 
 class RoutedLookup:
-    """One request to the engine on behalf of a lookup and its repeats; `write_id` is empty for a read."""
-
-    __slots__ = ("deadline_us", "expires_us", "name", "outcome", "waiters", "write_id")
+    """One request to the engine on behalf of a lookup and its repeats; `write_id` is empty for a read.
+
+    `outcome` is set when the reply is sent, and `undurable_outcome` before, while the outcome is being persisted.
+    """
+
+    __slots__ = (
+        "deadline_us",
+        "expires_us",
+        "is_served",
+        "name",
+        "outcome",
+        "undurable_outcome",
+        "waiters",
+        "write_id",
+    )
 
     def __init__(self, name: str, write_id: str, deadline_us: int, expires_us: int):
         self.name = name
         self.write_id = write_id
         self.deadline_us = deadline_us
         self.expires_us = expires_us
+        self.is_served = False  # by a member, whose name may still be unknown
+        self.undurable_outcome: LookupOutcome | None = None
         self.outcome: LookupOutcome | None = None
         self.waiters: dict[WaiterKey, Waiter] = {}
 
--- a/rookbend/fronts/dns_outcomes.py
+++ b/rookbend/fronts/dns_outcomes.py
@@ -13,6 +13,7 @@
     from rookbend.recovery.issued_names import IssuedName
 
 US_PER_MS = 1000
+FAILED = LookupOutcome(dns.rcode.SERVFAIL, note="failed")
 
 
 def refused_outcome(retry_after_us: int) -> LookupOutcome:
--- a/rookbend/net/bounded_server.py
+++ b/rookbend/net/bounded_server.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 import trio
 
@@ -30,13 +31,15 @@
         """`name` identifies the server in the log. `serve_client` serves one client, and limits the time for which a
         client that does nothing stays; the connection is closed when it returns."""
         self.clock = context.clock
-        self.clients = 0
+        self.clients: set[BufferedSocket] = set()
+        self.open_exchanges = 0  # requests received whole whose answers the kernel has not taken yet
         self.address: tuple[str, int] | None = None  # set by `open`
         self._configured_address = address
         self._name = name
         self._containment = context.containment
         self._write_scheduler = context.write_scheduler
         self._serve_client = serve_client
+        self._accept_scope = trio.CancelScope()
 
     def open(self, listeners: Listeners) -> None:
         """Opens the listener."""
@@ -49,20 +52,39 @@
 
     async def _serve(self) -> None:
         async with trio.open_nursery() as nursery:
-            await accept(self._listener, trio.CancelScope(), lambda sock: self._accepted(sock, nursery))
+            await accept(self._listener, self._accept_scope, lambda sock: self._accepted(sock, nursery))
+
+    def finish_all(self) -> None:
+        """Accepts what waits in the listener's backlog, and nothing after it."""
+        self._accept_scope.cancel()
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
-        if self.clients >= MAX_CLIENTS:
+        if len(self.clients) >= MAX_CLIENTS:
             sock.close()
             return
-        self.clients += 1
-        nursery.start_soon(self._run_client, BufferedSocket(set_socket_options(sock), nursery, self._write_scheduler))
+        channel = BufferedSocket(set_socket_options(sock), nursery, self._write_scheduler)
+        self.clients.add(channel)
+        nursery.start_soon(self._run_client, channel)
+
+    @contextmanager
+    def exchange(self) -> Iterator[None]:
+        """The time from a request that was received whole to its answer, which a drain waits for."""
+        self.open_exchanges += 1
+        try:
+            yield
+        finally:
+            self.open_exchanges -= 1
+
+    @property
+    def unfinished(self) -> int:
+        """Requests without an answer, and clients with answers that are not sent yet."""
+        return self.open_exchanges + sum(channel.unsent_bytes > 0 for channel in self.clients)
 
     async def _run_client(self, channel: BufferedSocket) -> None:
         try:
             with self._containment.contain(self._name):
                 await self._serve_client(channel)
         finally:
-            self.clients -= 1
+            self.clients.remove(channel)
             channel.send()
             channel.close()
--- a/rookbend/net/component.py
+++ b/rookbend/net/component.py
@@ -80,7 +80,10 @@
     def shutdown(self) -> None:
         """Everything is answered and the process is about to end."""
 
+    def finish_all(self) -> None:
+        """The time of the drain is over: answers what is left as far as it can. The process ends right after."""
+
     @property
-    def busy(self) -> bool:
-        """Whether it still has something to send before the process may end."""
-        return False
+    def unfinished(self) -> int:
+        """The number of received requests whose answers are not sent yet: the drain waits for them while it can."""
+        return 0
--- a/rookbend/net/dns_server.py
+++ b/rookbend/net/dns_server.py
@@ -52,7 +52,8 @@
         address: tuple[str, int],
     ):
         self.front = front
-        self.clients = 0
+        self.clients: set[BufferedSocket] = set()  # over TCP
+        self._accept_scope = trio.CancelScope()
         self._resolver = resolver
         self._clock = context.clock
         self._containment = context.containment
@@ -68,11 +69,22 @@
         """Starts the servers and the resolver client."""
         self._resolver.start(nursery)
         nursery.start_soon(self.serve_udp)
-        nursery.start_soon(self.serve_tcp, trio.CancelScope())
+        nursery.start_soon(self.serve_tcp)
 
     def stop_accepting(self) -> None:
-        """Refuses new lookups."""
+        """Refuses new lookups; accepts the clients in the listener's backlog, and none after them."""
         self.front.closing = True
+        self._accept_scope.cancel()
+
+    def finish_all(self) -> None:
+        """Replies to all lookups in progress."""
+        self.front.completion.finish_all()
+
+    @property
+    def unfinished(self) -> int:
+        """Lookups in progress, wherever they wait, and clients over TCP with replies that are not sent yet."""
+        unsent = sum(channel.unsent_bytes > 0 for channel in self.clients)
+        return len(self.front.completion.in_progress) + unsent
 
     async def serve_udp(self) -> None:
         """Receives datagrams until cancelled."""
@@ -94,17 +106,17 @@
 
         return respond
 
-    async def serve_tcp(self, scope: trio.CancelScope) -> None:
-        """Accepts clients until the scope is cancelled."""
+    async def serve_tcp(self) -> None:
+        """Accepts clients until `stop_accepting`."""
         async with trio.open_nursery() as nursery:
-            await accept(self.tcp, scope, lambda sock: self._accepted(sock, nursery))
+            await accept(self.tcp, self._accept_scope, lambda sock: self._accepted(sock, nursery))
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
-        if self.clients >= MAX_TCP_CLIENTS:
+        if len(self.clients) >= MAX_TCP_CLIENTS:
             sock.close()
             return
-        self.clients += 1
         channel = BufferedSocket(set_socket_options(sock), nursery, self._write_scheduler, TCP_RECEIVE_BYTES)
+        self.clients.add(channel)
         nursery.start_soon(self._serve_client, channel)
 
     async def _serve_client(self, channel: BufferedSocket) -> None:
@@ -112,6 +124,6 @@
             with self._containment.contain("dns"), contextlib.suppress(OSError):  # the client may have left already
                 await DnsTcpClient(channel, self.front, self._clock).run()
         finally:
-            self.clients -= 1
+            self.clients.remove(channel)
             channel.send()
             channel.close()
--- a/rookbend/net/operations.py
+++ b/rookbend/net/operations.py
@@ -107,6 +107,16 @@
         if self.upgrade is not None:
             self.upgrade.shutdown()
 
+    def finish_all(self) -> None:
+        """See `OperatorEndpoint.finish_all`."""
+        if self.endpoint is not None:
+            self.endpoint.finish_all()
+
+    @property
+    def unfinished(self) -> int:
+        """See `OperatorEndpoint.unfinished`."""
+        return self.endpoint.unfinished if self.endpoint is not None else 0
+
     # Exclusions
 
     def _membership_changed(self, change: MembershipChange) -> None:
--- a/rookbend/net/operator_endpoint.py
+++ b/rookbend/net/operator_endpoint.py
@@ -41,6 +41,7 @@
         self.channel = channel
         self.activity = ConnectionActivity(INACTIVITY_LIMITS, clock.now())
         self.scope = trio.CancelScope()
+        self.is_answered = False  # the kernel has taken the answer
         self._clock = clock
 
     async def read_request(self, http: HttpServerConnection) -> HttpRequest | None:
@@ -58,6 +59,7 @@
         """Waits until the answer is sent, closes the sending side, and reads for a moment what else arrives."""
         self.scope.deadline = self._clock.monotonic_at(self._clock.now() + ANSWER_TIMEOUT_US)
         await self.channel.sent()
+        self.is_answered = True
         self.channel.finish()
         self.scope.deadline = self._clock.monotonic_at(self._clock.now() + LINGER_TIMEOUT_US)
         while await self.channel.receive():
@@ -78,6 +80,7 @@
         self.address = listener.getsockname()[:2]
         self.connections: set[OperatorConnection] = set()
         self.answered = 0
+        self._accept_scope = trio.CancelScope()
 
     def start(self, nursery: trio.Nursery) -> None:
         """Starts to accept connections."""
@@ -85,7 +88,16 @@
 
     async def _serve(self) -> None:
         async with trio.open_nursery() as nursery:
-            await accept(self.listener, trio.CancelScope(), lambda sock: self._accepted(sock, nursery))
+            await accept(self.listener, self._accept_scope, lambda sock: self._accepted(sock, nursery))
+
+    def finish_all(self) -> None:
+        """Accepts what waits in the listener's backlog, and nothing after it."""
+        self._accept_scope.cancel()
+
+    @property
+    def unfinished(self) -> int:
+        """Connections without an answer: a request may be on its way on each of them."""
+        return sum(not connection.is_answered for connection in self.connections)
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         if len(self.connections) >= MAX_CONNECTIONS:
--- a/rookbend/net/status_servers.py
+++ b/rookbend/net/status_servers.py
@@ -41,9 +41,10 @@
         return http_health.answer(request, status.accepts_requests, status.state)
 
     async def serve_client(channel: BufferedSocket) -> None:
-        await serve_http(channel, handle, context.clock)
+        await serve_http(channel, handle, context.clock, server.exchange)
 
-    return BoundedServer(context, "http-server", address, serve_client)
+    server = BoundedServer(context, "http-server", address, serve_client)
+    return server
 
 
 class GrpcServer(BoundedServer):
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -132,7 +132,9 @@
             ),
             read_config,
         )
-        self.drain = Drain(DrainContext(self.clock, self.engine, self.client_listener, self.components, self.upgrade))
+        self.drain = Drain(
+            DrainContext(self.clock, self.engine, self.client_listener, self.components, self.upgrade, self.log)
+        )
 
     def is_ready(self) -> bool:
         """Whether requests can be served, which needs at least one member in service."""
--- a/tests/test_dns_front.py
+++ b/tests/test_dns_front.py
@@ -241,9 +241,9 @@
         harness.service.engine.membership_changed(MembershipChange(False, 3, [moved]))
         front = harness.service.dns.front
         results = []
-        front._on_resolved(next(iter(front.table.by_key.values())), number, "cache1.example.org", ["127.0.0.11"])
+        front.completion.resolved(next(iter(front.table.by_key.values())), number, "cache1.example.org", ["127.0.0.11"])
         results.append(next(iter(front.table.by_key.values())).outcome.server)
-        front._on_resolved(next(iter(front.table.by_key.values())), number, "cache1.example.org", ["127.0.0.12"])
+        front.completion.resolved(next(iter(front.table.by_key.values())), number, "cache1.example.org", ["127.0.0.12"])
         results.append(next(iter(front.table.by_key.values())).outcome.address)
         assert results == [0, "127.0.0.12"]
 
--- a/tests/test_fault_containment.py
+++ b/tests/test_fault_containment.py
@@ -44,7 +44,7 @@
             with monkeypatch.context() as planted:
                 planted.setattr("rookbend.net.http_server.HttpServerConnection.feed", fail)
                 assert await exchange(server.address, GET) == b""
-            assert answered in await exchange(server.address, GET) and server.clients == 0
+            assert answered in await exchange(server.address, GET) and not server.clients
 
     run_with_director(steps, operators=ADMIN, component_faults=2)
     assert contained_components(capsys) == ["http-server", "admin"]
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -71,7 +71,7 @@
                 await stream.send_all(b"HEAD /health HTTP/1.1\r\nHost: a\r\n\r\nzz\r\n\r\n")
                 while await stream.receive_some():
                     pass
-        assert server.clients == 0 and not harness.done.is_set()
+        assert not server.clients and not harness.done.is_set()
 
     run_with_director(steps)
 
