--- a/rookbend/assembly.py
+++ b/rookbend/assembly.py
@@ -12,11 +12,11 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
-from rookbend.net.buffered_socket import WriteScheduler
 from rookbend.net.component import Component, ComponentContext
 from rookbend.net.peers import PeerSocket
 from rookbend.net.pool import Pool
 from rookbend.net.watch import Watch
+from rookbend.net.write_scheduler import WriteScheduler
 from rookbend.protocol.coordinator_stream import Translator, split_address
 from rookbend.reload import coordinator_address
 from rookbend.resource_budget import ResourceBudget
--- a/rookbend/core/inactivity.py
+++ b/rookbend/core/inactivity.py
@@ -53,6 +53,10 @@
         """An answer was written."""
         self.last_activity_us = now_us
 
+    def delivered(self, now_us: int) -> None:
+        """The peer has received a part of an answer."""
+        self.last_activity_us = now_us
+
     def deadline_us(self, has_open_requests: bool) -> int | None:
         """When the connection is ended unless something happens on it before; None while a request is open."""
         if has_open_requests:
--- a/rookbend/drain.py
+++ b/rookbend/drain.py
@@ -19,6 +19,7 @@
 from rookbend.core.traffic_classes import longest_deadline_us
 from rookbend.net.client_listener import ClientListener
 from rookbend.net.component import Component
+from rookbend.process_metrics import TIMER_STEP_US
 
 if TYPE_CHECKING:
     from rookbend.net.upgrade import Upgrade
@@ -80,7 +81,8 @@
             component.drain(answered_by_us)
         await trio.sleep_until(context.clock.monotonic_at(self._started_us + GRACE_US))
         await self._stop_accepting(accept_scope)
-        await self._wait_until_finished(answered_by_us)
+        await self._wait_until_finished(answered_by_us + TIMER_STEP_US)
+        context.client_listener.finish_all()
         for component in context.components:
             component.finish_all()
         await trio.sleep(POLL_INTERVAL_S)  # for the tasks that this wakes
@@ -93,6 +95,8 @@
         """Closes the connections of clients that are owed nothing, until all are closed and everything is answered."""
         while self._unfinished() and self._context.clock.now() < until_us:
             self._context.client_listener.close_idle_clients()
+            for component in self._context.components:
+                component.close_idle_clients()
             await trio.sleep(POLL_INTERVAL_S)
 
     def _prepare_upgrade(self, accept_scope: trio.CancelScope) -> None:
--- a/rookbend/net/bounded_server.py
+++ b/rookbend/net/bounded_server.py
@@ -11,6 +11,7 @@
 from rookbend.net.acceptor import accept
 from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.component import Component, ComponentContext
+from rookbend.net.lingering_close import close_without_reset, finish_and_linger
 from rookbend.net.listeners import Listeners
 
 MAX_CLIENTS = 32
@@ -77,14 +78,14 @@
 
     @property
     def unfinished(self) -> int:
-        """Requests without an answer, and clients with answers that are not sent yet."""
-        return self.open_exchanges + sum(channel.unsent_bytes > 0 for channel in self.clients)
+        """Requests without an answer, and clients that have not received an answer yet."""
+        return self.open_exchanges + sum(channel.undelivered_bytes > 0 for channel in self.clients)
 
     async def _run_client(self, channel: BufferedSocket) -> None:
         try:
             with self._containment.contain(self._name):
                 await self._serve_client(channel)
+                await finish_and_linger(channel, self.clock)
         finally:
             self.clients.remove(channel)
-            channel.send()
-            channel.close()
+            close_without_reset(channel)
--- a/rookbend/net/buffered_socket.py
+++ b/rookbend/net/buffered_socket.py
@@ -9,38 +9,14 @@
 
 import trio
 
+from rookbend.net.send_queue import held_back_bytes
+from rookbend.net.write_scheduler import WriteScheduler
+
 RECEIVE_BYTES = 1 << 18
 _RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BYTES))  # shared: a new block for each read is mapped and unmapped
 MAX_SEND_PARTS = 512  # buffers in one `sendmsg` call
 
 
-class WriteScheduler:
-    """Sends all sockets written to during a turn of the event loop at its end: one send call for many answers."""
-
-    def __init__(self) -> None:
-        self._pending: list[BufferedSocket] = []
-        self._wakeup = trio.Event()
-
-    def add(self, buffered_socket: BufferedSocket) -> None:
-        """Schedules the socket to be sent at the end of this turn."""
-        if not self._pending:
-            self._wakeup.set()
-        self._pending.append(buffered_socket)
-
-    def flush(self) -> None:
-        """Sends the buffered bytes of all scheduled sockets."""
-        pending, self._pending = self._pending, []
-        for buffered_socket in pending:
-            buffered_socket.send()
-
-    async def run(self) -> None:
-        """Flushes at the end of each turn that wrote to a socket; runs until cancelled."""
-        while True:
-            await self._wakeup.wait()
-            self._wakeup = trio.Event()
-            self.flush()
-
-
 class BufferedSocket:
     """A socket that accepts writes at any time and keeps in a backlog the bytes that the kernel has not taken yet.
 
@@ -79,6 +55,14 @@
         """Bytes accepted that the kernel has not taken; 0 once the connection is closed or broken."""
         return 0 if self.closed or self.broken else self.accepted_bytes - self.sent_bytes
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes accepted that are still on this machine; 0 once the connection is closed or broken.
+
+        Bytes that the kernel has taken may wait there for a slow reader, and a reset would discard them.
+        """
+        return 0 if self.closed or self.broken else self.unsent_bytes + held_back_bytes(self.sock)
+
     def write(self, data: bytes) -> None:
         """Buffers the bytes for the end of this turn; ignored once the connection is closed, broken or finishing."""
         if self.closed or self.broken or self._finishing:
@@ -231,6 +215,11 @@
             self.sock.shutdown(socket.SHUT_RDWR)
         self._notify_drained()
 
+    def discard_received(self, limit: int) -> None:
+        """Reads and discards what has arrived, up to about `limit` bytes: a close over unread bytes sends a reset."""
+        while limit > 0 and (data := self.receive_now()):
+            limit -= len(data)
+
     def close(self) -> None:
         """Closes the socket at once and wakes the tasks that wait on it."""
         if not self.closed:
--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -2,9 +2,9 @@
 
 A connection is OPEN until the director closes its sending side, then FINISHING until the client closes too. One whose
 client has sent invalid bytes is REJECTED in between, until its open requests are answered.
-Closing a socket that has unread bytes sends a reset, and a reset discards answers that the client has not read
-yet. The director therefore reads all pending bytes, closes its sending side, and goes on reading until the client
-closes. Requests received after the director's close are not served.
+An answer is not delivered before the client's system has it, so a connection is idle only then. The director reads all
+pending bytes, closes its sending side, and goes on reading until the client closes; see `lingering_close`. Requests
+received after the director's close are not served.
 """
 
 from __future__ import annotations
@@ -17,13 +17,15 @@
 
 from rookbend.core.counters import Counters
 from rookbend.fronts.platform import PlatformFront, PlatformSession
-from rookbend.net.buffered_socket import BufferedSocket, WriteScheduler, set_socket_options
+from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.client_input import ClientInput
+from rookbend.net.delivery import DeliveryMonitor
 from rookbend.net.drop_reason import DropReason
+from rookbend.net.lingering_close import LINGER_LIMIT_US, LingeringClose, close_without_reset
+from rookbend.net.write_scheduler import WriteScheduler
 
 RECEIVE_BYTES = 1 << 16
-FINISH_TIMEOUT_US = 250_000  # from the director's close to dropping a connection that the client leaves open
-MAX_DISCARDED_BYTES = 1 << 20  # received and discarded within that time
+FINISH_TIMEOUT_US = 250_000  # until a connection is dropped that its client leaves open and sends nothing on
 FLUSH_POLL_S = 0.01
 
 
@@ -57,18 +59,35 @@
         self.socket.on_drained = self._drained
         self.session = PlatformSession(owner.front, self.socket.write)
         self._input = ClientInput(self.session, self.socket, owner.processing_turns)
+        self._clock = owner.front.engine.clock
+        self._delivery = DeliveryMonitor(self.socket, self._clock.now())
         self._read_scope = trio.CancelScope()
-        self._discarded_bytes = 0
+        self._finish_timeout_us = FINISH_TIMEOUT_US
+        self._linger_limit_us = LINGER_LIMIT_US
 
     def is_idle(self) -> bool:
-        """Whether no answer is pending for this client, so that its connection may be closed."""
-        is_served = self.phase is not ClientPhase.FINISHING
-        is_busy = self._input.is_processing or self.session.open_streams or self.socket.unsent_bytes
-        return is_served and not is_busy
+        """Whether no answer is pending for this client or on its way to it, so that its connection may be closed."""
+        return not (self._is_answering() or self.is_delivering())
+
+    def _is_answering(self) -> bool:
+        is_finishing = self.phase is ClientPhase.FINISHING
+        return bool(is_finishing or self._input.is_processing or self.session.open_streams or self.socket.unsent_bytes)
+
+    def is_delivering(self) -> bool:
+        """Whether answers are on their way to the client, which counts as activity."""
+        now_us = self._clock.now()
+        is_delivering = self._delivery.is_delivering(now_us)
+        if is_delivering and self._delivery.progress_us == now_us:
+            self.session.activity.delivered(now_us)
+        return is_delivering
+
+    def has_stalled(self, since_us: int) -> bool:
+        """Whether no request is open, and the client has received nothing since then although answers wait for it."""
+        return not self._is_answering() and self.is_delivering() and self._delivery.is_stalled(since_us)
 
     def has_expired(self, now_us: int) -> bool:
         """Whether the client has been inactive for too long: it has sent nothing, or only a part of a frame. A rejected
-        client has no time left once its requests are answered."""
+        client has no time left once it has its answers."""
         if not self.is_idle():
             return False
         if self.phase is ClientPhase.REJECTED:
@@ -104,12 +123,14 @@
                 await self._read()
                 if self.phase is not ClientPhase.FINISHING and not self.socket.reset:
                     await self._send_pending_answers()
+            if self.phase is ClientPhase.FINISHING and self._finish_timeout_us:
+                lingering = LingeringClose(self.socket, self._delivery, self._clock)
+                await lingering.wait(self._finish_timeout_us, self._linger_limit_us)
         finally:
             self.session.connection_lost()
             self.owner.connection_closed(self)
             self.socket.on_drained = None
-            self.socket.send()
-            self.socket.close()
+            close_without_reset(self.socket)
 
     async def _read(self) -> None:
         # No variable of this task refers to received bytes while it waits for more.
@@ -122,9 +143,6 @@
         """Returns whether to go on reading."""
         if not data:
             return False
-        if self.phase is ClientPhase.FINISHING:
-            self._discarded_bytes += len(data)
-            return self._discarded_bytes <= MAX_DISCARDED_BYTES
         if self.phase is ClientPhase.OPEN:
             self.session.receive_data(data)
             del data  # it may take many turns to process
@@ -138,6 +156,7 @@
     def _reject(self) -> None:
         """Reads nothing more from a client that has broken the protocol; its open requests are still answered."""
         if not self.session.is_rejected:
+            self._linger_limit_us = FINISH_TIMEOUT_US  # it reads nothing
             self.drop(DropReason.UNREAD_REJECTIONS)
         elif self.session.open_streams or self.socket.backlog_bytes:
             self.phase = ClientPhase.REJECTED
@@ -184,7 +203,7 @@
         counters.clients_dropped += 1
         counters.requests_dropped += open_requests
         engine = self.owner.front.engine
-        now_us = engine.clock.now()
+        now_us = self._clock.now()
         incomplete_since_us = session.activity.message_since_us
         engine.log(
             "client_dropped",
@@ -195,14 +214,16 @@
             inactive_ms=(now_us - session.activity.last_activity_us) // 1000,
             frame_age_ms=(now_us - incomplete_since_us) // 1000 if incomplete_since_us else None,
             unsent_bytes=self.socket.unsent_bytes,
+            undelivered_bytes=self.socket.undelivered_bytes,
         )
 
     def finish(self, timeout_us: int = FINISH_TIMEOUT_US) -> None:
-        """Closes the sending side; `run` goes on until the client closes, for `timeout_us` at most."""
+        """Closes the sending side; `run` goes on until the client closes, or has its answers and sends nothing for
+        `timeout_us`."""
         if self.phase is ClientPhase.FINISHING:
             return
         self.phase = ClientPhase.FINISHING
+        self._finish_timeout_us = timeout_us
         self.session.connection_lost()
         self.socket.finish()
-        clock = self.owner.front.engine.clock
-        self._read_scope.deadline = clock.monotonic_at(clock.now() + timeout_us)
+        self._read_scope.cancel()
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -10,9 +10,9 @@
 from rookbend.core.traffic_classes import longest_deadline_us
 from rookbend.fronts.platform import PlatformFront
 from rookbend.net.acceptor import accept
-from rookbend.net.buffered_socket import WriteScheduler
 from rookbend.net.client_connection import FINISH_TIMEOUT_US, ClientConnection, ClientPhase
 from rookbend.net.drop_reason import DropReason
+from rookbend.net.write_scheduler import WriteScheduler
 
 NEW_CLIENT_GRACE_US = 250_000  # a client that has sent nothing is not evicted for this long after its connect
 REAPER_PERIOD_S = 0.25
@@ -112,8 +112,12 @@
             self._drop_stalled(trio.current_time() - self._stall_timeout_us() / 1e6)
 
     def _end_expired(self, now_us: int) -> None:
+        stalled_since_us = now_us - self._stall_timeout_us()
         for client in list(self.open):
-            if client.has_expired(now_us):
+            client.is_delivering()  # the estimate of what it has read needs a look several times a second
+            if client.has_stalled(stalled_since_us):
+                client.abort(DropReason.STALLED_READER)
+            elif client.has_expired(now_us):
                 self._end_idle(client, client.expiry_reason, FINISH_TIMEOUT_US)
 
     def _stall_timeout_us(self) -> int:
@@ -150,6 +154,12 @@
             if not client.session.activity.is_receiving(now_us - WRITING_PAUSE_US):
                 client.finish_if_idle()
 
+    def finish_all(self) -> None:
+        """Closes the connections of all clients whose requests are answered, as the time of the shutdown is over."""
+        for client in self.open:
+            if not client.session.open_streams:
+                client.finish()
+
     def announce_closing(self) -> None:
         """Notifies all present and future clients to send no new requests."""
         self.closing = True
--- a/rookbend/net/component.py
+++ b/rookbend/net/component.py
@@ -20,9 +20,9 @@
     from rookbend.core.engine import Engine
     from rookbend.health.spare_capacity import CapacitySample
     from rookbend.logs import Log
-    from rookbend.net.buffered_socket import WriteScheduler
     from rookbend.net.listeners import Listeners
     from rookbend.net.watch import Watch
+    from rookbend.net.write_scheduler import WriteScheduler
     from rookbend.settings import Settings
 
 
@@ -80,6 +80,9 @@
     def shutdown(self) -> None:
         """Everything is answered and the process is about to end."""
 
+    def close_idle_clients(self) -> None:
+        """Called again and again from `stop_accepting` on: closes the connections whose clients are owed no answer."""
+
     def finish_all(self) -> None:
         """The time of the drain is over: answers what is left as far as it can. The process ends right after."""
 
--- a/rookbend/net/dns_server.py
+++ b/rookbend/net/dns_server.py
@@ -16,6 +16,7 @@
 from rookbend.net.component import Component, ComponentContext
 from rookbend.net.dns_resolver import ResolverClient
 from rookbend.net.dns_tcp_client import DnsTcpClient
+from rookbend.net.lingering_close import close_without_reset
 from rookbend.net.listeners import Listeners
 from rookbend.protocol.dns import MAX_MESSAGE_BYTES, encode_reply
 
@@ -52,7 +53,7 @@
         address: tuple[str, int],
     ):
         self.front = front
-        self.clients: set[BufferedSocket] = set()  # over TCP
+        self.clients: set[DnsTcpClient] = set()
         self._accept_scope = trio.CancelScope()
         self._resolver = resolver
         self._clock = context.clock
@@ -76,15 +77,19 @@
         self.front.closing = True
         self._accept_scope.cancel()
 
+    def close_idle_clients(self) -> None:
+        """See `DnsTcpClient.finish_if_idle`."""
+        for client in self.clients:
+            client.finish_if_idle()
+
     def finish_all(self) -> None:
         """Replies to all lookups in progress."""
         self.front.completion.finish_all()
 
     @property
     def unfinished(self) -> int:
-        """Lookups in progress, wherever they wait, and clients over TCP with replies that are not sent yet."""
-        unsent = sum(channel.unsent_bytes > 0 for channel in self.clients)
-        return len(self.front.completion.in_progress) + unsent
+        """Lookups in progress, wherever they wait, and connections over TCP that are not closed yet."""
+        return len(self.front.completion.in_progress) + len(self.clients)
 
     async def serve_udp(self) -> None:
         """Receives datagrams until cancelled."""
@@ -116,14 +121,14 @@
             sock.close()
             return
         channel = BufferedSocket(set_socket_options(sock), nursery, self._write_scheduler, TCP_RECEIVE_BYTES)
-        self.clients.add(channel)
-        nursery.start_soon(self._serve_client, channel)
+        client = DnsTcpClient(channel, self.front, self._clock)
+        self.clients.add(client)
+        nursery.start_soon(self._serve_client, client)
 
-    async def _serve_client(self, channel: BufferedSocket) -> None:
+    async def _serve_client(self, client: DnsTcpClient) -> None:
         try:
             with self._containment.contain("dns"), contextlib.suppress(OSError):  # the client may have left already
-                await DnsTcpClient(channel, self.front, self._clock).run()
+                await client.run()
         finally:
-            self.clients.remove(channel)
-            channel.send()
-            channel.close()
+            self.clients.remove(client)
+            close_without_reset(client.channel)
--- a/rookbend/net/dns_tcp_client.py
+++ b/rookbend/net/dns_tcp_client.py
@@ -9,6 +9,7 @@
 from rookbend.core.inactivity import ConnectionActivity, InactivityLimits
 from rookbend.fronts.dns import DnsFront
 from rookbend.net.buffered_socket import BufferedSocket
+from rookbend.net.lingering_close import finish_and_linger
 from rookbend.protocol import dns_tcp
 from rookbend.protocol.dns import encode_reply
 
@@ -29,7 +30,7 @@
     """
 
     def __init__(self, channel: BufferedSocket, front: DnsFront, clock: Clock):
-        self._channel = channel
+        self.channel = channel
         self._front = front
         self._clock = clock
         self._reader = dns_tcp.MessageReader()
@@ -42,16 +43,28 @@
         """Receives queries until the client closes or is idle for too long, then waits for the pending replies."""
         self._set_deadline()
         with self._scope:
-            client = ("tcp", *self._channel.sock.getpeername())
-            # No variable of this task refers to received bytes while it waits for more.
-            while self._process(await self._channel.receive(), client):
-                if self._channel.backlog_bytes > MAX_UNSENT_BYTES:
-                    await self._channel.sent()
-            # The client may have closed only its sending side.
-            self._all_replied = trio.Event()
-            if self._open_queries and not self._channel.broken:
-                await self._all_replied.wait()
-            await self._channel.sent()
+            await self._serve()
+        if self._scope.cancelled_caught and self.channel.undelivered_bytes:
+            self.channel.abort()  # it has been idle for too long and has read no replies
+        await finish_and_linger(self.channel, self._clock)
+
+    async def _serve(self) -> None:
+        client = ("tcp", *self.channel.sock.getpeername())
+        # No variable of this task refers to received bytes while it waits for more.
+        while self._process(await self.channel.receive(), client):
+            if self.channel.backlog_bytes > MAX_UNSENT_BYTES:
+                await self.channel.sent()
+        # The client may have closed only its sending side.
+        self._all_replied = trio.Event()
+        if self._open_queries and not self.channel.broken:
+            await self._all_replied.wait()
+        await self.channel.sent()
+
+    def finish_if_idle(self) -> None:
+        """Closes the connection if all queries received on it have replies, and the client has these."""
+        has_more = self.channel.peek() not in (None, b"")
+        if not (self._open_queries or self.channel.undelivered_bytes or has_more):
+            self._scope.cancel()
 
     def _process(self, data: bytes, client: tuple[str | int, ...]) -> bool:
         """Returns whether to go on reading."""
@@ -69,7 +82,7 @@
 
     def _respond(self, reply: dns.message.Message) -> None:
         self._open_queries.discard(reply.id)
-        self._channel.write(dns_tcp.frame(encode_reply(reply, b"", over_udp=False)))
+        self.channel.write(dns_tcp.frame(encode_reply(reply, b"", over_udp=False)))
         self._activity.answered(self._clock.now())
         self._set_deadline()
         if not self._open_queries:
--- a/rookbend/net/operator_endpoint.py
+++ b/rookbend/net/operator_endpoint.py
@@ -5,8 +5,7 @@
   has been inactive for longest.
 - A delayed event loop delays answers too. Therefore an answer takes a single read of state in memory, and no request
   waits for another.
-- Closing a socket over unread bytes sends a reset, which can discard the answer. Therefore the endpoint closes its
-  sending side after the answer, and reads what the client sent beyond its request for a moment before it closes.
+- Closing a socket over unread bytes sends a reset, which can discard the answer: see `lingering_close`.
 """
 
 from __future__ import annotations
@@ -20,6 +19,7 @@
 from rookbend.net.acceptor import accept
 from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.component import Component, ComponentContext
+from rookbend.net.lingering_close import close_without_reset, finish_and_linger
 from rookbend.protocol.http_server import HttpRequest, HttpServerConnection
 from rookbend.protocol.operator_api import OperatorApi
 
@@ -31,7 +31,6 @@
     message_us=10_000_000,
 )
 ANSWER_TIMEOUT_US = 10_000_000  # for the client to read its answer
-LINGER_TIMEOUT_US = 250_000  # how long bytes beyond the request are read after the answer
 
 
 class OperatorConnection:
@@ -56,14 +55,11 @@
         return request
 
     async def finish(self) -> None:
-        """Waits until the answer is sent, closes the sending side, and reads for a moment what else arrives."""
+        """Waits until the answer is sent and the client has closed, or has had time to."""
         self.scope.deadline = self._clock.monotonic_at(self._clock.now() + ANSWER_TIMEOUT_US)
         await self.channel.sent()
         self.is_answered = True
-        self.channel.finish()
-        self.scope.deadline = self._clock.monotonic_at(self._clock.now() + LINGER_TIMEOUT_US)
-        while await self.channel.receive():
-            pass
+        await finish_and_linger(self.channel, self._clock)
 
 
 class OperatorEndpoint(Component):
@@ -96,8 +92,10 @@
 
     @property
     def unfinished(self) -> int:
-        """Connections without an answer: a request may be on its way on each of them."""
-        return sum(not connection.is_answered for connection in self.connections)
+        """Connections without an answer: a request may be on its way on each of them. And those still receiving one."""
+        return sum(
+            not connection.is_answered or connection.channel.undelivered_bytes > 0 for connection in self.connections
+        )
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         if len(self.connections) >= MAX_CONNECTIONS:
@@ -116,7 +114,7 @@
                 await self._answer(connection)
         finally:
             self.connections.discard(connection)
-            connection.channel.close()
+            close_without_reset(connection.channel)
 
     async def _answer(self, connection: OperatorConnection) -> None:
         http = HttpServerConnection()
--- a/rookbend/net/pool.py
+++ b/rookbend/net/pool.py
@@ -8,9 +8,9 @@
 from rookbend.core.engine import Engine
 from rookbend.core.model import Attempt, Endpoint
 from rookbend.interface import AttemptStatus
-from rookbend.net.buffered_socket import WriteScheduler
 from rookbend.net.member_connection import MemberConnection
 from rookbend.net.member_pool import MemberPool
+from rookbend.net.write_scheduler import WriteScheduler
 
 IDLE_CLOSE_RATIO = 0.8  # of the members' idle timeout, so that the director closes first
 MAX_UNSHARED_RATE_PER_S = 600  # up to this attempt rate, each attempt has a connection of its own
--- a/rookbend/net/pool_context.py
+++ b/rookbend/net/pool_context.py
@@ -8,7 +8,7 @@
 
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
-from rookbend.net.buffered_socket import WriteScheduler
+from rookbend.net.write_scheduler import WriteScheduler
 
 
 class PoolContext(Protocol):
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -24,12 +24,12 @@
 from rookbend.drain import Drain, DrainContext
 from rookbend.fronts.platform import PlatformFront
 from rookbend.logs import Log
-from rookbend.net.buffered_socket import WriteScheduler
 from rookbend.net.client_listener import ClientListener
 from rookbend.net.component import Component, ComponentContext
 from rookbend.net.listeners import Listeners
 from rookbend.net.peers import PeerSocket
 from rookbend.net.pool import Pool
+from rookbend.net.write_scheduler import WriteScheduler
 from rookbend.phase import Phase
 from rookbend.process_metrics import ProcessMetrics, resident_bytes
 from rookbend.reload import ReadConfig, Reload, ReloadContext
--- a/tests/test_dns_tcp_client.py
+++ b/tests/test_dns_tcp_client.py
@@ -7,6 +7,7 @@
 import dns.message
 import pytest
 import trio
+import trio.testing
 
 from rookbend.net.buffered_socket import RECEIVE_BYTES
 from rookbend.net.dns_server import DnsServer
@@ -69,6 +70,7 @@
     async def check(harness):
         async with await trio.open_tcp_stream(*harness.service.dns.address) as stream:
             assert await seconds_until_closed(stream, pieces) == pytest.approx(limit_s(limit), abs=0.1)
+        await trio.testing.wait_all_tasks_blocked()  # the director reads the client's close
         assert not harness.service.dns.clients
 
     run_with_director(check)
@@ -79,9 +81,9 @@
     channels = []
     serve = DnsServer._serve_client
 
-    async def record(server, channel):
-        channels.append(channel)
-        await serve(server, channel)
+    async def record(server, client):
+        channels.append(client.channel)
+        await serve(server, client)
 
     monkeypatch.setattr(DnsServer, "_serve_client", record)
 
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -5,6 +5,7 @@
 import dns.rrset
 import pytest
 import trio
+import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -71,6 +72,7 @@
                 await stream.send_all(b"HEAD /health HTTP/1.1\r\nHost: a\r\n\r\nzz\r\n\r\n")
                 while await stream.receive_some():
                     pass
+        await trio.testing.wait_all_tasks_blocked()  # the director reads the client's close
         assert not server.clients and not harness.done.is_set()
 
     run_with_director(steps)
--- a/tests/test_http_connection_limits.py
+++ b/tests/test_http_connection_limits.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from rookbend.components.admin import MemberOrders
 from rookbend.net.bounded_server import BoundedServer
@@ -57,6 +58,7 @@
         used = harness.service.balancer[server]
         async with await trio.open_tcp_stream(*used.address) as stream:
             assert await seconds_until_closed(stream, pieces) == pytest.approx(limit_s, abs=0.1)
+        await trio.testing.wait_all_tasks_blocked()  # the director reads the client's close
         assert not used.clients
 
     run_with_director(check)
