--- a/rookbend/leases/events.py
+++ b/rookbend/leases/events.py
@@ -42,6 +42,20 @@
     """Peers report a later incarnation of this director than its storage holds."""
 
 
+@dataclass(slots=True)
+class SuccessorChanged:
+    """In an upgrade, a successor process of this director serves, or has ended."""
+
+    serves: bool
+
+
+@dataclass(slots=True)
+class PredecessorChanged:
+    """In an upgrade, a predecessor process of this director is present, or has ended."""
+
+    is_present: bool
+
+
 @dataclass(slots=True)
 class OrderRequested:
     """An operator requests an order for the whole fleet; `id` is assigned by this director."""
@@ -103,6 +117,8 @@
     | ShutdownRequested
     | VotersChanged
     | StaleStorageDetected
+    | SuccessorChanged
+    | PredecessorChanged
     | OrderRequested
     | CheckResultsCollected
     | OriginCallsReported
--- a/rookbend/leases/machine.py
+++ b/rookbend/leases/machine.py
@@ -75,7 +75,9 @@
             events.ShutdownRequested: parts.handover.shut_down,
             events.VotersChanged: parts.reconfiguration.begin,
             events.StaleStorageDetected: self._stale_storage_detected,
-            events.OrderRequested: parts.orders.request,
+            events.SuccessorChanged: parts.replacement.successor_changed,
+            events.PredecessorChanged: parts.replacement.predecessor_changed,
+            events.OrderRequested: self._order_requested,
             events.CheckResultsCollected: parts.shard_results.results_collected,
             events.OriginCallsReported: parts.ramp_allocator.calls_reported,
             events.CountersCollected: parts.report.counters_collected,
@@ -87,6 +89,16 @@
         if now_us < self.due_us:
             return
         parts = self.parts
+        if parts.replacement.is_superseded:
+            parts.handover.announce(now_us)
+            parts.replacement.tick(now_us)
+            parts.orders.requests.tick(now_us, parts.orders.leader)
+        else:
+            self._run_parts(now_us)
+        self.due_us = now_us + int(TICK_US * (MIN_TICK_RATIO + TICK_JITTER_RATIO * parts.random.random()))
+
+    def _run_parts(self, now_us: int) -> None:
+        parts = self.parts
         parts.election.tick(now_us)
         parts.handover.announce(now_us)
         parts.voting.request_highest_tokens(now_us)
@@ -96,7 +108,12 @@
         parts.ramp_allocator.tick(now_us)
         parts.report.tick(now_us)
         parts.orders.tick(now_us)
-        self.due_us = now_us + int(TICK_US * (MIN_TICK_RATIO + TICK_JITTER_RATIO * parts.random.random()))
+
+    def _order_requested(self, now_us: int, event: events.OrderRequested) -> None:
+        if self.parts.replacement.is_superseded:
+            self.parts.replacement.refuse_order(event)
+        else:
+            self.parts.orders.request(now_us, event)
 
     def _datagram_received(self, now_us: int, event: DatagramReceived) -> None:
         self.parts.dispatcher.datagram_received(now_us, event.sender, event.data)
--- a/rookbend/leases/message_dispatcher.py
+++ b/rookbend/leases/message_dispatcher.py
@@ -10,6 +10,8 @@
 from rookbend.leases.fleet_report import ReportTask
 from rookbend.leases.handover import LeaseHandover
 from rookbend.leases.messenger import Messenger
+from rookbend.leases.order_catchup import CATCH_UP_TOKEN
+from rookbend.leases.process_replacement import ProcessReplacement
 from rookbend.leases.ramp_allocation import RampAllocator
 from rookbend.leases.shard_results import ShardResultsExchange
 from rookbend.leases.tokens import TokenCounter
@@ -23,7 +25,7 @@
     """Dispatches messages by type.
 
     `undecodable` counts datagrams that are malformed, from another fleet, or that name another director than their
-    sender.
+    sender. Of those of another process of this director, only its order log is used.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         report: ReportTask,
         ramp_allocator: RampAllocator,
         shard_results: ShardResultsExchange,
+        replacement: ProcessReplacement,
     ):
         self._director_count = director_count
         self._fleet, self._director, self._incarnation = messenger.header
@@ -47,6 +50,7 @@
         self._election = election
         self._tokens = tokens
         self._orders = orders
+        self._replacement = replacement
         self.undecodable = 0
         self._handlers: dict[type, Callable[[int, int, Any], None]] = {
             messages.LeaseRequest: self._lease_request_received,
@@ -73,11 +77,15 @@
         except LeaseProtocolError:
             self.undecodable += 1
             return
-        is_peer = 0 <= sender < self._director_count and sender != self._director
-        if not is_peer or message.sender != sender or message.fleet != self._fleet:
+        is_known = 0 <= sender < self._director_count
+        if not is_known or message.sender != sender or message.fleet != self._fleet:
             self.undecodable += 1
-            return
-        self.deliver(now_us, sender, message)
+        elif sender != self._director:
+            self.deliver(now_us, sender, message)
+        elif message.incarnation == self._incarnation:
+            self.undecodable += 1  # no message of this process comes from outside
+        elif isinstance(message, messages.EntriesFetched) and message.token == CATCH_UP_TOKEN:
+            self._replacement.entries_received(now_us, message)
 
     def deliver(self, now_us: int, sender: int, message: messages.Message) -> None:
         """Passes a message from a peer or from this director to its handler."""
--- a/rookbend/leases/messenger.py
+++ b/rookbend/leases/messenger.py
@@ -24,7 +24,7 @@
     """Sends messages to directors by number.
 
     `header` holds the first fields of every message of this director: fleet, director, incarnation. Messages to this
-    director itself are passed to `deliver(now_us, sender, message)`.
+    director itself are passed to `deliver(now_us, sender, message)` while `delivers_to_self` is set.
     """
 
     def __init__(
@@ -41,6 +41,7 @@
         self._tokens = tokens
         self._actions = actions
         self._deliver = deliver
+        self.delivers_to_self = True  # else those to this director go to its other process
 
     def send(self, now_us: int, peer: int, message: Message) -> None:
         """Sends one message. Raises LeaseProtocolError if it does not fit into a datagram."""
@@ -51,7 +52,7 @@
 
         Sends nothing if the director does not exist: its number may come from a peer's message.
         """
-        if peer == self._director:
+        if peer == self._director and self.delivers_to_self:
             self._deliver(now_us, peer, codec.decode(data))
         elif 0 <= peer < self._voters.director_count:
             self._actions.send(now_us, peer, data)
--- a/rookbend/leases/order_catchup.py
+++ b/rookbend/leases/order_catchup.py
@@ -14,6 +14,7 @@
 CATCH_UP_TOKEN = -1  # in place of a token: requests all entries, also uncommitted ones
 NOTHING_COMMITTED = -1  # the sender is catching up itself and does not know what is committed
 CATCH_UP_INTERVAL_US = 300_000
+PREDECESSOR = -1  # in place of a voter's number: this director's predecessor process
 
 
 class LogCatchUp:
@@ -83,6 +84,7 @@
         self._messenger = messenger
         self._catch_up = LogCatchUp(director) if needed else None
         self._fetched_us = 0
+        self.awaits_predecessor = False  # another process of this director, which passes its log on
 
     @property
     def in_progress(self) -> bool:
@@ -90,14 +92,33 @@
         return self._catch_up is not None
 
     def restart(self) -> None:
-        """Reads the log from the other voters again, because storage is stale."""
+        """Reads the log again, because storage is stale."""
         self._catch_up = LogCatchUp(self._director)
 
+    def await_predecessor(self) -> None:
+        """Reads the log of this director's predecessor process, in place of the other voters' logs."""
+        self.restart()
+        self.awaits_predecessor = True
+
+    def predecessor_entries_received(self, message: EntriesFetched) -> bool:
+        """Records a batch of the predecessor's log; returns whether this was the last one."""
+        catch_up = self._catch_up
+        if catch_up is None:
+            return False
+        catch_up.entries_read(PREDECESSOR, message.after, message.last, message.committed, message.entries)
+        if PREDECESSOR not in catch_up.finished_voters:
+            return False
+        self.awaits_predecessor = False
+        self._finish(catch_up)
+        return True
+
     def tick(self, now_us: int) -> None:
         """Fetches, at intervals, from the voters that have not been read completely."""
         catch_up = self._catch_up
         voters = self._voters.all_voters
-        if catch_up is None or self._director not in voters or now_us - self._fetched_us < CATCH_UP_INTERVAL_US:
+        if catch_up is None or self.awaits_predecessor or self._director not in voters:
+            return
+        if now_us - self._fetched_us < CATCH_UP_INTERVAL_US:
             return
         self._fetched_us = now_us
         for voter in sorted(voters - {self._director} - catch_up.finished_voters):
@@ -113,7 +134,7 @@
     def entries_received(self, now_us: int, sender: int, message: EntriesFetched) -> None:
         """Records a batch of a voter's log; finishes the catch-up once enough has been read."""
         catch_up = self._catch_up
-        if catch_up is None or sender not in self._voters.all_voters:
+        if catch_up is None or self.awaits_predecessor or sender not in self._voters.all_voters:
             return
         catch_up.entries_read(sender, message.after, message.last, message.committed, message.entries)
         if catch_up.is_done(self._voters.quorums):
--- a/rookbend/leases/order_follower.py
+++ b/rookbend/leases/order_follower.py
@@ -114,9 +114,10 @@
         reply = EntriesFetched(
             *self._messenger.header, message.incarnation, message.token, message.after, committed, last, ()
         )
-        self._messenger.send(now_us, sender, self._with_entries(reply))
+        self._messenger.send(now_us, sender, self.with_entries(reply))
 
-    def _with_entries(self, reply: EntriesFetched) -> EntriesFetched:
+    def with_entries(self, reply: EntriesFetched) -> EntriesFetched:
+        """Adds to a reply as many entries between its `after` and its `last` as fit into one datagram."""
         for entry in self._log.entries_between(reply.after, reply.last):
             longer = msgspec.structs.replace(reply, entries=(*reply.entries, entry))
             try:
--- a/rookbend/leases/parts.py
+++ b/rookbend/leases/parts.py
@@ -21,6 +21,7 @@
 from rookbend.leases.message_dispatcher import MessageDispatcher
 from rookbend.leases.messenger import Messenger
 from rookbend.leases.order_log import OrderLog
+from rookbend.leases.process_replacement import ProcessReplacement
 from rookbend.leases.ramp_allocation import RampAllocator
 from rookbend.leases.rebalancing import Rebalancer, ScopePlacement
 from rookbend.leases.shard_results import ShardResultsExchange
@@ -111,6 +112,9 @@
                 self.random,
             )
         )
+        self.replacement = ProcessReplacement(
+            config.director, self.voting, self.handover, leases, self.orders, messenger, self.actions
+        )
         report = FleetReport(config.report_period_us)
         self.report = ReportTask(config.director_count, report, leases, fenced, messenger, self.actions)
         self.ramp_allocator = RampAllocator(config.director_count, leases, fenced, messenger)
@@ -130,6 +134,7 @@
             self.report,
             self.ramp_allocator,
             self.shard_results,
+            self.replacement,
         )
 
     # Callbacks between parts
--- a/rookbend/leases/voting.py
+++ b/rookbend/leases/voting.py
@@ -60,6 +60,7 @@
         self._tokens_requested_us = 0
         self._last_step_us = now_us
         self._ignore_until_us = 0
+        self.suspended = False  # another process of this director votes
 
     @property
     def _is_voter(self) -> bool:
@@ -78,7 +79,7 @@
         if not message.rows:  # the sender asks only for the highest token
             self._messenger.send_votes(now_us, sender, message.incarnation, [])
             return
-        if not self._is_voter or now_us < self._ignore_until_us:
+        if not self._is_voter or self.suspended or now_us < self._ignore_until_us:
             return
         holder = Holder(sender, message.incarnation)
         rows: list[VoteRow] = []
@@ -155,6 +156,10 @@
 
     def stale_storage_detected(self, now_us: int) -> None:
         """Starts the quarantine again, as after a start without storage."""
+        self.restart_quarantine(now_us)
+        self._actions.log("lease_voter_quarantined", "warning", why="durable storage is older than expected")
+
+    def restart_quarantine(self, now_us: int) -> None:
+        """Grants nothing new until all grants that this director may have made have expired."""
         self._voter.quarantine(now_us)
         self._token_reporters = set()
-        self._actions.log("lease_voter_quarantined", "warning", why="durable storage is older than expected")
--- a/rookbend/net/bounded_server.py
+++ b/rookbend/net/bounded_server.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -14,6 +15,9 @@
 from rookbend.net.lingering_close import close_without_reset, finish_and_linger
 from rookbend.net.listeners import Listeners
 
+if TYPE_CHECKING:
+    from rookbend.operations.handover import ProcessHandover
+
 MAX_CLIENTS = 32
 
 
@@ -41,6 +45,7 @@
         self._write_scheduler = context.write_scheduler
         self._serve_client = serve_client
         self._accept_scope = trio.CancelScope()
+        self._has_successor = False
 
     def open(self, listeners: Listeners) -> None:
         """Opens the listener."""
@@ -53,7 +58,16 @@
 
     async def _serve(self) -> None:
         async with trio.open_nursery() as nursery:
-            await accept(self._listener, self._accept_scope, lambda sock: self._accepted(sock, nursery))
+            await accept(
+                self._listener,
+                self._accept_scope,
+                lambda sock: self._accepted(sock, nursery),
+                lambda: not self._has_successor,
+            )
+
+    def processes_changed(self, handover: ProcessHandover) -> None:
+        """Leaves new clients to a successor process."""
+        self._has_successor = handover.taken_over
 
     def finish_all(self) -> None:
         """Accepts what waits in the listener's backlog, and nothing after it."""
--- a/rookbend/net/component.py
+++ b/rookbend/net/component.py
@@ -23,6 +23,7 @@
     from rookbend.net.listeners import Listeners
     from rookbend.net.watch import Watch
     from rookbend.net.write_scheduler import WriteScheduler
+    from rookbend.operations.handover import ProcessHandover
     from rookbend.settings import Settings
 
 
@@ -71,6 +72,9 @@
     def reload(self, settings: Settings) -> None:
         """Applies the operators' settings, which were read again and are valid."""
 
+    def processes_changed(self, handover: ProcessHandover) -> None:
+        """Another process of this director has been found, serves or has ended; also called once before the start."""
+
     def drain(self, by_us: int) -> None:
         """The director was told to stop; everything accepted is answered by `by_us`."""
 
--- a/rookbend/net/leases.py
+++ b/rookbend/net/leases.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from rookbend.net.recovery import RecoveryComponent
     from rookbend.net.state import StateComponent
+    from rookbend.operations.handover import ProcessHandover
 
 POLL_INTERVAL_US = 250_000
 
@@ -102,6 +103,8 @@
             self.feed,
         )
         self._nursery: trio.Nursery | None = None
+        self._has_successor = False
+        self._has_predecessor = False
         self._forward_datagram = context.engine.on_peer_message
         context.engine.on_peer_message = self._datagram_received
         self.recovery.on_boot_raised = lambda: self.feed(events.StaleStorageDetected())
@@ -162,6 +165,15 @@
             voters = settings.ownership.voters or default_voters(self.machine.config.director_count)
             self.feed(events.VotersChanged(frozenset(voters)))
 
+    def processes_changed(self, handover: ProcessHandover) -> None:
+        """Passes this director's part on to a successor, or takes it over from a predecessor."""
+        if handover.taken_over != self._has_successor:
+            self._has_successor = handover.taken_over
+            self.feed(events.SuccessorChanged(handover.taken_over))
+        if handover.has_predecessor != self._has_predecessor:
+            self._has_predecessor = handover.has_predecessor
+            self.feed(events.PredecessorChanged(handover.has_predecessor))
+
     def drain(self, by_us: int) -> None:
         """Hands over all leases."""
         self.feed(events.ShutdownRequested())
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -132,9 +132,8 @@
             ),
             read_config,
         )
-        self.drain = Drain(
-            DrainContext(self.clock, self.engine, self.client_listener, self.components, self.upgrade, self.log)
-        )
+        context = DrainContext(self.clock, self.engine, self.client_listener, self.components, self.upgrade, self.log)
+        self.drain = Drain(context)
 
     def is_ready(self) -> bool:
         """Whether requests can be served, which needs at least one member in service."""
@@ -226,6 +225,8 @@
         self.client_listener.max_unsent_bytes = self.budget.max_unsent_bytes(handover.processes)
         if self.peers is not None:
             self.peers.set_receiving(not handover.taken_over)
+        for component in self.components:
+            component.processes_changed(handover)
 
     async def _handle_signals(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
@@ -243,8 +244,7 @@
     read_config: ReadConfig,
     on_signals_received: Callable[[], None] = lambda: None,
 ) -> None:
-    """Runs a director until SIGTERM or SIGINT. SIGHUP reads configuration and settings again, SIGUSR1 logs the
-    counters. `on_signals_received` is called once the signal handlers are installed."""
+    """Runs a director until SIGTERM or SIGINT; `on_signals_received` is called once the signal handlers are set."""
     with trio.open_signal_receiver(*SIGNALS) as signals:
         on_signals_received()
         await Service(config, operators, read_config=read_config).run(signals)
