--- a/rookbend/core/inactivity.py
+++ b/rookbend/core/inactivity.py
@@ -31,11 +31,12 @@
 
     __slots__ = ("has_received_message", "last_activity_us", "limits", "message_since_us", "opened_us")
 
-    def __init__(self, limits: InactivityLimits, now_us: int) -> None:
+    def __init__(self, limits: InactivityLimits, opened_us: int) -> None:
+        """`opened_us` is when the peer has connected, or sent its last byte before the connection was accepted."""
         self.limits = limits
-        self.opened_us = now_us
+        self.opened_us = opened_us
         self.has_received_message = False
-        self.last_activity_us = now_us  # the last byte received or the last answer
+        self.last_activity_us = opened_us  # the last byte received or the last answer
         self.message_since_us = 0  # the first byte of the unfinished message; 0 if there is none
 
     def received(self, now_us: int, has_completed: bool, is_partial: bool) -> None:
--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -53,7 +53,9 @@
 class PlatformSession:
     """One client connection: `receive_data` takes the received bytes, `write` sends the answers."""
 
-    def __init__(self, front: PlatformFront, write: Callable[[bytes], None]) -> None:
+    def __init__(self, front: PlatformFront, write: Callable[[bytes], None], waited_us: int = 0) -> None:
+        """`waited_us` is the time for which the connection, and what had arrived on it, waited to be accepted."""
+        now_us = front.engine.clock.now()
         self.front = front
         self.write = write
         self.parser = frames.FrameParser()
@@ -61,7 +63,8 @@
         self.is_rejected = False  # invalid bytes were received: open requests are answered, and nothing new is read
         self.has_unread_answers = False  # answers wait in memory until the client reads
         self.paused = False  # very many do: the client's requests are queued, its cancels are not
-        self.activity = ConnectionActivity(INACTIVITY_LIMITS, front.engine.clock.now())
+        self.activity = ConnectionActivity(INACTIVITY_LIMITS, now_us - waited_us)
+        self._waited_us = waited_us  # by the bytes that are read now
         self.received_frames = 0
         self.has_more_frames = False  # received, but not processed yet
         self._client_closed = False  # the client has closed its side: new requests are rejected
@@ -122,6 +125,10 @@
             self.reject_connection()
         return is_valid
 
+    def all_read(self) -> None:
+        """Handles that nothing more can be read now: what arrives from now on has not waited."""
+        self._waited_us = 0
+
     def refuse_unfinished(self) -> None:
         """See `UnfinishedRequest`: the request is refused, and the rest of it is discarded as it arrives."""
         stream = self.parser.discard_incomplete_request()
@@ -142,7 +149,7 @@
         if reason is not None:
             return self._refuse(frame, reason)
         try:
-            request = read_request(engine, frame)
+            request = read_request(engine, frame, self._waited_us)
         except (KeyError, ValueError):
             engine.counters.malformed += 1
             self._count_outcome(frame, FinalOutcome.FAILED)
--- a/rookbend/fronts/platform_request.py
+++ b/rookbend/fronts/platform_request.py
@@ -27,8 +27,8 @@
         super().__init__(f"field {field} is {value[:MAX_SHOWN_CHARS]!r}: {expected} expected")
 
 
-def read_request(engine: Engine, frame: frames.RequestFrame) -> Request:
-    """The request in a frame, its deadline on the engine's clock.
+def read_request(engine: Engine, frame: frames.RequestFrame, waited_us: int = 0) -> Request:
+    """The request in a frame that waited for `waited_us` until it was read, its deadline on the engine's clock.
 
     Raises MalformedRequestError (a ValueError), ValueError or KeyError on fields that can't be used.
     """
@@ -54,7 +54,7 @@
         class_name=class_name,
         key=key,
         object_id=object_number(key),
-        deadline_us=now_us + timeout_us - margin_us,
+        deadline_us=now_us + timeout_us - margin_us - waited_us,
         part=_number(fields, frames.PART_FIELD, MAX_PART, "0"),
         group=_number(fields, frames.GROUP_FIELD, MAX_GROUP, "0"),
         is_retry=fields.get(frames.IS_RETRY_FIELD) == "1",
--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -19,6 +19,7 @@
 from rookbend.fronts.platform import PlatformFront, PlatformSession
 from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.client_input import ClientInput
+from rookbend.net.connection_age import quiet_us
 from rookbend.net.delivery import DeliveryMonitor
 from rookbend.net.drop_reason import DropReason
 from rookbend.net.lingering_close import LINGER_LIMIT_US, LingeringClose, close_without_reset
@@ -53,11 +54,14 @@
     """A client's socket and session. Owns the socket once `run` is started."""
 
     def __init__(self, owner: ClientConnectionOwner, sock: socket.socket, nursery: trio.Nursery) -> None:
+        waited_us = quiet_us(sock)
         self.owner = owner
         self.phase = ClientPhase.OPEN
         self.socket = BufferedSocket(set_socket_options(sock), nursery, owner.scheduler, RECEIVE_BYTES)
         self.socket.on_drained = self._drained
-        self.session = PlatformSession(owner.front, self.socket.write)
+        self.session = PlatformSession(owner.front, self.socket.write, waited_us)
+        if not self.socket.peek():
+            self.session.all_read()  # no bytes have waited
         self._input = ClientInput(self.session, self.socket, owner.processing_turns)
         self._clock = owner.front.engine.clock
         self._delivery = DeliveryMonitor(self.socket, self._clock.now())
@@ -148,6 +152,7 @@
             del data  # it may take many turns to process
             if not await self._input.process(self._is_open):
                 self._reject()
+            self.session.all_read()
         return True
 
     def _is_open(self) -> bool:
