--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -86,13 +86,13 @@
         return is_delivering
 
     def has_stalled(self, since_us: int) -> bool:
-        """Whether no request is open, and the client has received nothing since then although answers wait for it."""
-        return not self._is_answering() and self.is_delivering() and self._delivery.is_stalled(since_us)
+        """Whether a client with answers on their way has received none of them since then, and has no open request."""
+        return not self._is_answering() and self._delivery.is_stalled(since_us)
 
     def has_expired(self, now_us: int) -> bool:
-        """Whether the client has been inactive for too long: it has sent nothing, or only a part of a frame. A rejected
-        client has no time left once it has its answers."""
-        if not self.is_idle():
+        """Whether a client that has its answers has been inactive for too long: it has sent nothing, or only part of a
+        frame. A rejected client has no time left then."""
+        if self._is_answering():
             return False
         if self.phase is ClientPhase.REJECTED:
             return True
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -114,9 +114,9 @@
     def _end_expired(self, now_us: int) -> None:
         stalled_since_us = now_us - self._stall_timeout_us()
         for client in list(self.open):
-            client.is_delivering()  # the estimate of what it has read needs a look several times a second
-            if client.has_stalled(stalled_since_us):
-                client.abort(DropReason.STALLED_READER)
+            if client.is_delivering():
+                if client.has_stalled(stalled_since_us):
+                    client.abort(DropReason.STALLED_READER)
             elif client.has_expired(now_us):
                 self._end_idle(client, client.expiry_reason, FINISH_TIMEOUT_US)
 
--- a/rookbend/net/delivery.py
+++ b/rookbend/net/delivery.py
@@ -22,6 +22,17 @@
     `progress_us` is the latest time at which the peer had received more, or everything.
     """
 
+    __slots__ = (
+        "_accepted_bytes",
+        "_delivered_bytes",
+        "_reading_until_us",
+        "_received_all_us",
+        "_sampled_us",
+        "_slow_until_us",
+        "_socket",
+        "progress_us",
+    )
+
     def __init__(self, sock: BufferedSocket, now_us: int) -> None:
         self.progress_us = now_us
         self._socket = sock
