Beside a successor process, DNS and the admin port leave new clients to it

An ending process took clients from the backlog that both processes share, and refused or cut them off.

--- a/rookbend/net/bounded_server.py
+++ b/rookbend/net/bounded_server.py
@@ -5,7 +5,6 @@
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
 
 import trio
 
@@ -15,9 +14,6 @@
 from rookbend.net.lingering_close import close_without_reset, finish_and_linger
 from rookbend.net.listeners import Listeners
 
-if TYPE_CHECKING:
-    from rookbend.operations.handover import ProcessHandover
-
 MAX_CLIENTS = 32
 
 
@@ -45,7 +41,6 @@
         self._write_scheduler = context.write_scheduler
         self._serve_client = serve_client
         self._accept_scope = trio.CancelScope()
-        self._has_successor = False
 
     def open(self, listeners: Listeners) -> None:
         """Opens the listener."""
@@ -62,16 +57,13 @@
                 self._listener,
                 self._accept_scope,
                 lambda sock: self._accepted(sock, nursery),
-                lambda: not self._has_successor,
+                lambda: not self.has_successor,
             )
 
-    def processes_changed(self, handover: ProcessHandover) -> None:
-        """Leaves new clients to a successor process."""
-        self._has_successor = handover.taken_over
-
     def finish_all(self) -> None:
         """Accepts what waits in the listener's backlog, and nothing after it."""
-        self._accept_scope.cancel()
+        if not self.has_successor:
+            self._accept_scope.cancel()
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         if len(self.clients) >= MAX_CLIENTS:
--- a/rookbend/net/component.py
+++ b/rookbend/net/component.py
@@ -58,10 +58,12 @@
 class Component:
     """An optional part of a director. No method except `open` may raise.
 
-    `descriptors` is the number of file descriptors that are reserved for it.
+    `descriptors` is the number of file descriptors that are reserved for it. `has_successor`: in an upgrade, another
+    process serves on the same listeners, and new clients are left to it.
     """
 
     descriptors = 0
+    has_successor = False
 
     def open(self, listeners: Listeners) -> None:
         """Opens its sockets. Raises OSError if an address can't be bound."""
@@ -74,6 +76,7 @@
 
     def processes_changed(self, handover: ProcessHandover) -> None:
         """Another process of this director has been found, serves or has ended; also called once before the start."""
+        self.has_successor = handover.taken_over
 
     def drain(self, by_us: int) -> None:
         """The director was told to stop; everything accepted is answered by `by_us`."""
--- a/rookbend/net/dns_server.py
+++ b/rookbend/net/dns_server.py
@@ -75,7 +75,8 @@
     def stop_accepting(self) -> None:
         """Refuses new lookups; accepts the clients in the listener's backlog, and none after them."""
         self.front.closing = True
-        self._accept_scope.cancel()
+        if not self.has_successor:
+            self._accept_scope.cancel()
 
     def close_idle_clients(self) -> None:
         """See `DnsTcpClient.finish_if_idle`."""
@@ -114,7 +115,12 @@
     async def serve_tcp(self) -> None:
         """Accepts clients until `stop_accepting`."""
         async with trio.open_nursery() as nursery:
-            await accept(self.tcp, self._accept_scope, lambda sock: self._accepted(sock, nursery))
+            await accept(
+                self.tcp,
+                self._accept_scope,
+                lambda sock: self._accepted(sock, nursery),
+                lambda: not self.has_successor,
+            )
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         if len(self.clients) >= MAX_TCP_CLIENTS:
--- a/rookbend/net/leases.py
+++ b/rookbend/net/leases.py
@@ -103,7 +103,6 @@
             self.feed,
         )
         self._nursery: trio.Nursery | None = None
-        self._has_successor = False
         self._has_predecessor = False
         self._forward_datagram = context.engine.on_peer_message
         context.engine.on_peer_message = self._datagram_received
@@ -167,9 +166,10 @@
 
     def processes_changed(self, handover: ProcessHandover) -> None:
         """Passes this director's part on to a successor, or takes it over from a predecessor."""
-        if handover.taken_over != self._has_successor:
-            self._has_successor = handover.taken_over
-            self.feed(events.SuccessorChanged(handover.taken_over))
+        had_successor = self.has_successor
+        super().processes_changed(handover)
+        if self.has_successor != had_successor:
+            self.feed(events.SuccessorChanged(self.has_successor))
         if handover.has_predecessor != self._has_predecessor:
             self._has_predecessor = handover.has_predecessor
             self.feed(events.PredecessorChanged(handover.has_predecessor))
--- a/rookbend/net/operations.py
+++ b/rookbend/net/operations.py
@@ -109,7 +109,7 @@
 
     def finish_all(self) -> None:
         """See `OperatorEndpoint.finish_all`."""
-        if self.endpoint is not None:
+        if self.endpoint is not None and not self.has_successor:
             self.endpoint.finish_all()
 
     @property
--- a/tests/test_shutdown_other_fronts.py
+++ b/tests/test_shutdown_other_fronts.py
@@ -11,6 +11,7 @@
 import trio.testing
 
 from rookbend.drain import GRACE_US, MAX_ANSWER_TIME_US
+from rookbend.operations.handover import ProcessHandover
 from rookbend.protocol.admin_api import AdminApi
 from rookbend.protocol.http_server import HttpResponse
 from tests.director_scenario import OBJ, SETTINGS, play, run_with_director
@@ -199,3 +200,25 @@
         assert len(answers) == 1 and answers[0].startswith(b"HTTP/1.1 503")
 
     run_with_director(check, operator="127.0.0.1:0")
+
+
+@pytest.mark.parametrize("name", ["admin", "dns"])
+def test_beside_a_successor_process_new_clients_are_left_to_it(name):
+    # Guards against a client that the ending process takes from the shared backlog and refuses.
+    async def check(harness):
+        server = getattr(harness.service, name)
+        handover = ProcessHandover()
+        handover.listeners_requested(1)
+        handover.successor_serving(1)
+        server.processes_changed(handover)
+        async with await trio.open_tcp_stream(*server.address):
+            harness.service.stop()
+            await trio.sleep(GRACE_US / 1e6 - 0.1)
+            assert not server.clients
+        handover.successor_ended(1)
+        server.processes_changed(handover)
+        async with await trio.open_tcp_stream(*server.address):
+            await trio.sleep(0.05)
+            assert server.clients
+
+    run_with_director(check, operators="[health]\n[admin]\n listen 127.0.0.1:0\n")
