A connection's wait counts only while the listener holds connections back

The kernel's word was taken for every connection, at two system calls each; now only for those accepted out of a queue, and for no longer than the hold. Read with care: a kernel that counts by another clock than the director's can't shorten other requests' time.

--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -19,7 +19,6 @@
 from rookbend.fronts.platform import PlatformFront, PlatformSession
 from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.client_input import ClientInput
-from rookbend.net.connection_age import quiet_us
 from rookbend.net.delivery import DeliveryMonitor
 from rookbend.net.drop_reason import DropReason
 from rookbend.net.lingering_close import LINGER_LIMIT_US, LingeringClose, close_without_reset
@@ -53,8 +52,10 @@
 class ClientConnection:
     """A client's socket and session. Owns the socket once `run` is started."""
 
-    def __init__(self, owner: ClientConnectionOwner, sock: socket.socket, nursery: trio.Nursery) -> None:
-        waited_us = quiet_us(sock)
+    def __init__(
+        self, owner: ClientConnectionOwner, sock: socket.socket, nursery: trio.Nursery, waited_us: int = 0
+    ) -> None:
+        """`waited_us` is the time for which the connection has waited to be accepted."""
         self.owner = owner
         self.phase = ClientPhase.OPEN
         self.socket = BufferedSocket(set_socket_options(sock), nursery, owner.scheduler, RECEIVE_BYTES)
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -10,6 +10,7 @@
 from rookbend.core.traffic_classes import longest_deadline_us
 from rookbend.fronts.platform import PlatformFront
 from rookbend.net.acceptor import accept
+from rookbend.net.backlog_wait import BacklogWait
 from rookbend.net.client_connection import FINISH_TIMEOUT_US, ClientConnection, ClientPhase
 from rookbend.net.drop_reason import DropReason
 from rookbend.net.write_scheduler import WriteScheduler
@@ -43,6 +44,7 @@
         self.open: dict[ClientConnection, None] = {}  # in the order of their accept
         self.processing_turns = trio.Lock()  # of clients that have sent more than a few requests at once
         self.closing = False
+        self._backlog_wait = BacklogWait()
         self.accepted_all = trio.Event()  # the listener is closed and its backlog was accepted
 
     @property
@@ -53,12 +55,13 @@
     async def serve(self, listener: socket.socket, accepting: trio.CancelScope) -> None:
         """Accepts until `accepting` is cancelled, and serves until the last client has left."""
         async with trio.open_nursery() as nursery:
-            await accept(listener, accepting, lambda sock: self._accepted(sock, nursery), self._make_capacity)
+            await accept(listener, accepting, lambda sock: self._accepted(sock, nursery), self._has_capacity)
             self.accepted_all.set()
 
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         self.counters.clients += 1
-        client = ClientConnection(self, sock, nursery)
+        waited_us = self._backlog_wait.waited_us(sock, self.front.engine.clock.now())
+        client = ClientConnection(self, sock, nursery, waited_us)
         self.open[client] = None
         if self.closing:
             client.session.announce_closing()
@@ -68,6 +71,12 @@
         """See `ClientConnectionOwner`."""
         self.open.pop(client, None)
 
+    def _has_capacity(self) -> bool:
+        has_capacity = self._make_capacity()
+        if not has_capacity:
+            self._backlog_wait.held_back(self.front.engine.clock.now())
+        return has_capacity
+
     def _make_capacity(self) -> bool:
         """Whether one more client can be accepted. When all places are taken, evicts idle clients: first those that
         have sent nothing, then those that have been idle for longest, and at last those that are writing a request.
--- a/rookbend/net/connection_age.py
+++ b/rookbend/net/connection_age.py
@@ -6,7 +6,8 @@
 import struct
 
 TCP_INFO_BYTES = 104
-LAST_DATA_RECEIVED = struct.Struct("52x I")  # `tcpi_last_data_recv` of `struct tcp_info` in linux/tcp.h, in ms
+TCP_STATE_AND_LAST_DATA = struct.Struct("B 51x I")  # of `struct tcp_info` in linux/tcp.h; the latter in ms
+CONNECTED_STATES = (1, 8)  # TCP_ESTABLISHED, TCP_CLOSE_WAIT
 US_PER_MS = 1000
 
 
@@ -15,7 +16,7 @@
     tell. TCP_INFO is described in tcp(7)."""
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        (quiet_ms,) = LAST_DATA_RECEIVED.unpack_from(info)
+        state, quiet_ms = TCP_STATE_AND_LAST_DATA.unpack_from(info)
     except (OSError, struct.error):
         return 0
-    return int(quiet_ms) * US_PER_MS
+    return int(quiet_ms) * US_PER_MS if state in CONNECTED_STATES else 0
--- a/tests/test_backlog_wait.py
+++ b/tests/test_backlog_wait.py
@@ -12,7 +12,7 @@
 import trio
 import trio.testing
 
-from rookbend.net import client_connection
+from rookbend.net import backlog_wait
 from rookbend.net.connection_age import quiet_us
 from rookbend.testing.director_process import DirectorProcess, find_free_port, running_directors
 from rookbend.testing.measurement_fleet import open_fleet
@@ -53,12 +53,13 @@
 
 def test_a_request_that_waited_to_be_accepted_has_less_time_and_the_next_one_has_all(monkeypatch):
     async def check(harness):
-        monkeypatch.setattr(client_connection, "quiet_us", lambda sock: WAITED_US)
+        monkeypatch.setattr(backlog_wait, "quiet_us", lambda sock: WAITED_US)
         client = RawClient(harness)
         listener = harness.service.client_listener
         listener.max_clients = 0
         await client.connect()
         await client.send(request(1, chunk=1, budget=BUDGET_MS))
+        await trio.sleep(2 * WAITED_US / 1e6)
         listener.max_clients = 10
         left_ms = BUDGET_MS - WAITED_US / 1000
         assert left_ms - SLACK_MS <= await passed_on_ms(harness) <= left_ms
@@ -68,23 +69,39 @@
     run_with_director(check)
 
 
-def test_a_request_that_is_sent_after_the_accept_has_all_its_time(monkeypatch):
+@pytest.mark.parametrize("is_held_back", [False, True])
+def test_a_request_that_is_sent_after_the_accept_has_all_its_time(is_held_back, monkeypatch):
     async def check(harness):
-        monkeypatch.setattr(client_connection, "quiet_us", lambda sock: WAITED_US)
+        monkeypatch.setattr(backlog_wait, "quiet_us", lambda sock: WAITED_US)
+        listener = harness.service.client_listener
+        listener.max_clients = 0 if is_held_back else 10
         client = await RawClient(harness).connect()
-        await trio.testing.wait_all_tasks_blocked()
+        await trio.sleep(WAITED_US / 1e6)
+        listener.max_clients = 10
+        await trio.sleep(0.1)
         await client.send(request(1, chunk=1, budget=BUDGET_MS))
         assert await passed_on_ms(harness) >= BUDGET_MS - SLACK_MS
 
     run_with_director(check)
 
 
+def test_a_request_that_was_not_held_back_has_all_its_time_whatever_the_kernel_says(monkeypatch):
+    async def check(harness):
+        monkeypatch.setattr(backlog_wait, "quiet_us", lambda sock: WAITED_US)
+        client = await RawClient(harness).connect()
+        client.sock._sock.send(request(1, chunk=1, budget=BUDGET_MS))  # before the director has accepted
+        assert await passed_on_ms(harness) >= BUDGET_MS - SLACK_MS
+
+    run_with_director(check)
+
+
 def test_a_request_whose_time_was_over_before_the_accept_is_not_passed_on(monkeypatch):
     async def check(harness):
-        monkeypatch.setattr(client_connection, "quiet_us", lambda sock: 2 * WAITED_US)
+        monkeypatch.setattr(backlog_wait, "quiet_us", lambda sock: 2 * WAITED_US)
         harness.service.client_listener.max_clients = 0
         client = await RawClient(harness).connect()
         await client.send(request(1, budget=BUDGET_MS))
+        await trio.sleep(2 * WAITED_US / 1e6)
         harness.service.client_listener.max_clients = 10
         await trio.sleep(0.1)
         await harness.play("cache1 expect nothing")
