RequestIntake accepts requests whole; the engine binds its submit

No change of behaviour: test_engine, test_platform, test_layering and test_attempt_crossings pass (58).

--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -17,7 +17,7 @@
 from rookbend.core.counters import Counters
 from rookbend.core.deadlines import DeadlineEnforcer
 from rookbend.core.membership_view import MembershipView
-from rookbend.core.model import Answer, AttemptResult, Endpoint, FinalOutcome, MembershipChange, Purge, Request
+from rookbend.core.model import AttemptResult, Endpoint, MembershipChange, Purge
 from rookbend.core.open_request import OpenRequest, OpenRequestTable
 from rookbend.core.ports import Backend, PeerTransport, RoutingPolicy
 from rookbend.core.received_purges import ReceivedPurges
@@ -26,9 +26,9 @@
 from rookbend.core.request_intake import RequestIntake
 from rookbend.core.router_driver import RouterDriver
 from rookbend.core.send_guard import SendGuard
-from rookbend.core.timers import TimerKind, TimerQueue
+from rookbend.core.timers import TimerQueue
 from rookbend.core.traffic_classes import TrafficClassIndex
-from rookbend.interface import AttemptStatus, Idempotency
+from rookbend.interface import AttemptStatus
 
 MAX_PEER_MESSAGE_BYTES = 256
 
@@ -37,8 +37,8 @@
     """Manages one director's requests, attempts and timers, between the fronts, the router and the backend.
 
     `backend` must be set before the first request, `peers` only if the director has peers. `endpoints` are the known
-    members by number. Three attributes are bound methods of other objects: `may_write` of `SendGuard`, `finished` of
-    `AttemptRunner`, and `class_index`, which is `TrafficClassIndex.index_of`.
+    members by number. Four attributes are bound methods of other objects: `submit` of `RequestIntake`, `may_write` of
+    `SendGuard`, `finished` of `AttemptRunner`, and `class_index`, which is `TrafficClassIndex.index_of`.
     """
 
     def __init__(
@@ -60,7 +60,6 @@
         self.traffic_classes = TrafficClassIndex(settings, clock)
         recent_ids = RecentRequestIds(clock, self.traffic_classes.id_retention_us)
         self.requests = OpenRequestTable(counters, recent_ids, self.timers.note_obsolete)
-        self._intake = RequestIntake(self.requests, clock)
         self.membership = MembershipView(settings, clock, lambda server: self.backend.disconnect(server))
         self.purges = ReceivedPurges(settings, clock)
         self._driver = RouterDriver(router, clock)
@@ -71,10 +70,14 @@
             self.requests, self.attempts, self.timers, self._driver, log, self._send_to_peer
         ).by_type()
         self._deadlines = DeadlineEnforcer(self.timers, self.requests, self.attempts, self._driver, clock, counters)
+        self._intake = RequestIntake(
+            settings, self.requests, self.timers, self._deadlines, self._driver, clock, counters
+        )
         self._settings = settings
         self.endpoints = self.membership.endpoints
         # Bound directly: a delegating method would add a call to each request.
         self.may_write = SendGuard(self.membership, self.purges, clock).may_write
+        self.submit = self._intake.submit
         self.finished = self.attempts.finished
         self.class_index = self.traffic_classes.index_of
         self._post = self._driver.post
@@ -87,6 +90,7 @@
     @settings.setter
     def settings(self, settings: api.Settings) -> None:
         self._settings = settings
+        self._intake.settings = settings
         self.attempts.settings = settings
         self.membership.settings = settings
         self.purges.settings = settings
@@ -112,41 +116,6 @@
 
     # Called by the fronts
 
-    def submit(self, request: Request, reply: Callable[[Answer], None]) -> OpenRequest | None:
-        """Accepts a request; `reply` is called exactly once, unless the request is cancelled first.
-
-        Returns None if the request is answered at once, see `RequestIntake`.
-        """
-        self.counters.requests += 1
-        self.counters.retries += request.is_retry
-        finish_all_at_us = self._deadlines.finish_all_at_us
-        if finish_all_at_us:
-            request.deadline_us = min(request.deadline_us, finish_all_at_us)
-        traffic_class = self._settings.classes[request.traffic_class]
-        is_idempotent = traffic_class.idempotency is Idempotency.IDEMPOTENT and not traffic_class.is_write
-        outcome = self._intake.immediate_outcome(request, is_idempotent)
-        if outcome is not None:
-            self.counters.count_answer(request.class_name, outcome)
-            reply(Answer(outcome, retry_after_us=self.retry_after_us if outcome is FinalOutcome.REJECTED else 0))
-            return None
-        open_request = self.requests.add(request, reply, is_idempotent, self._settings.max_attempts)
-        self.timers.schedule(request.deadline_us, TimerKind.REQUEST_DEADLINE, open_request.id)
-        self._post(
-            api.RequestArrived(
-                open_request.id,
-                request.traffic_class,
-                request.object_id,
-                request.deadline_us,
-                0.0,
-                request.group,
-                request.part,
-                0,
-                request.is_retry,
-                traffic_class.is_write,
-            )
-        )
-        return open_request
-
     def cancel(self, open_request: OpenRequest | None) -> None:
         """Ends a request whose client no longer waits for it, without an answer."""
         if open_request is None or not self.requests.remove(open_request):
