--- a/rookbend/core/attempts.py
+++ b/rookbend/core/attempts.py
@@ -8,10 +8,11 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.model import Answer, Attempt, AttemptResult, Endpoint, FinalOutcome
-from rookbend.core.open_request import OpenRequest, OpenRequestTable
+from rookbend.core.open_request import EndReason, OpenRequest, OpenRequestTable
 from rookbend.core.ports import Backend
 from rookbend.core.rejection import rejection, retry_after_us
 from rookbend.core.router_driver import RouterDriver
+from rookbend.core.send_guard import WithholdReason
 from rookbend.core.timers import AttemptKey, TimerKind, TimerQueue
 from rookbend.interface import (
     NEVER_EXECUTED,
@@ -85,7 +86,7 @@
         open_request.current_attempt = attempt
         self._counters.attempts += 1
         if number:
-            self._log("attempt_retried", request=attempt.request.request_id, attempt=number, member=endpoint.name)
+            self._log_retry(open_request, attempt, endpoint)
         if self.on_attempt is not None:
             self.on_attempt(attempt, None)
         if due_us < deadline_us:
@@ -94,6 +95,18 @@
             self._requests.recent_ids.write_starts(attempt.request.request_id, attempt.request.traffic_class)
         self.backend.send(attempt, endpoint)
 
+    def _log_retry(self, open_request: OpenRequest, attempt: Attempt, endpoint: Endpoint) -> None:
+        previous = open_request.last_status
+        source = self._endpoints.get(attempt.source)
+        self._log(
+            "attempt_retried",
+            request=attempt.request.request_id,
+            attempt=attempt.number,
+            member=endpoint.name,
+            source=source.name if source is not None else "",
+            after=previous.name.lower() if previous is not None else "",
+        )
+
     def _may_start(self, open_request: OpenRequest, number: int, endpoint: Endpoint, now_us: int) -> bool:
         """Permits one attempt at a time, a limited number of them, none after the deadline and no unsafe retry."""
         settings = self.settings
@@ -144,6 +157,16 @@
         if self.backend.abort(attempt) not in NEVER_EXECUTED:
             retry_safety.note_possible_run(open_request, attempt, self._endpoints.get(attempt.server))
 
+    def withhold(self, attempt: Attempt, reason: WithholdReason) -> None:
+        """Ends an attempt of which nothing was written, since it may not be sent any more."""
+        self._counters.withheld += 1
+        self._counters.increment(f"withheld_{reason.value}")
+        if not attempt.is_finished:
+            endpoint = self._endpoints.get(attempt.server)
+            member = endpoint.name if endpoint is not None else ""
+            self._log("attempt_withheld", request=attempt.request.request_id, member=member, reason=reason.value)
+        self.finished(attempt, AttemptResult(AttemptStatus.MOOT))
+
     def expire(self, attempt: Attempt) -> None:
         """Ends an attempt that has timed out."""
         self.finished(attempt, AttemptResult(self.backend.abort(attempt)))
@@ -184,6 +207,7 @@
     def _answer_if_last(self, open_request: OpenRequest, attempt: Attempt, result: AttemptResult) -> bool:
         """Answers the request if no further attempt may follow this one; returns whether it was answered."""
         status = result.status
+        open_request.last_status = status
         if status is AttemptStatus.OK:
             answer = Answer(FinalOutcome.SERVED, result.body, result.unchanged, 0, attempt.server)
             self._requests.answer(open_request, answer)
@@ -195,5 +219,6 @@
         if not open_request.client_half_closed:
             return False
         self._counters.clients_left += 1
-        self._requests.answer(open_request, rejection(open_request, retry_after_us(self.settings)))
+        answer = rejection(open_request, retry_after_us(self.settings))
+        self._requests.answer(open_request, answer, EndReason.CLIENT_LEFT)
         return True
--- a/rookbend/core/counters.py
+++ b/rookbend/core/counters.py
@@ -23,6 +23,12 @@
     clients_left: int = 0  # ended without a further attempt: the client had closed its sending side
     attempts: int = 0  # handed to the backend
     withheld: int = 0  # not written: the member drained, the object was purged or the time ran out first
+    withheld_finished: int = 0  # of these, by reason: see `WithholdReason`
+    withheld_member_out_of_service: int = 0
+    withheld_source_out_of_service: int = 0
+    withheld_member_left: int = 0
+    withheld_time_over: int = 0
+    withheld_purged: int = 0
     undone: int = 0  # aborted after they were written
     served: int = 0
     refused: int = 0
@@ -45,6 +51,7 @@
     purges: int = 0
     roster_changes: int = 0  # changes of the membership
     restarts_seen: int = 0  # members found restarted by their connections, before the membership reported it
+    coordinator_streams: int = 0  # streams of the coordinator that have begun
     events_unusable: int = 0  # events of the coordinator that can't be parsed or applied
     judgements: int = 0  # members whose state or weight was changed by health evidence
     clients: int = 0  # connections accepted
--- a/rookbend/core/deadlines.py
+++ b/rookbend/core/deadlines.py
@@ -6,7 +6,7 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.model import Answer, FinalOutcome
-from rookbend.core.open_request import OpenRequest, OpenRequestTable
+from rookbend.core.open_request import EndReason, OpenRequest, OpenRequestTable
 from rookbend.core.router_driver import RouterDriver
 from rookbend.core.timers import Timer, TimerKind, TimerQueue
 from rookbend.interface import RequestCancelled, TimerFired
@@ -72,5 +72,5 @@
             self._attempts.expire(open_request.current_attempt)
         if self._requests.by_id.get(open_request.id) is open_request:
             self._counters.late_guard += 1
-            self._requests.answer(open_request, Answer(FinalOutcome.FAILED))
+            self._requests.answer(open_request, Answer(FinalOutcome.FAILED), EndReason.DEADLINE)
             self._driver.post(RequestCancelled(open_request.id))
--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -16,9 +16,10 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.deadlines import DeadlineEnforcer
+from rookbend.core.membership_transitions import state_transitions
 from rookbend.core.membership_view import MembershipView
 from rookbend.core.model import AttemptResult, Endpoint, MembershipChange, Purge
-from rookbend.core.open_request import OpenRequest, OpenRequestTable
+from rookbend.core.open_request import EndReason, OpenRequest, OpenRequestTable
 from rookbend.core.ports import Backend, PeerTransport, RoutingPolicy
 from rookbend.core.received_purges import ReceivedPurges
 from rookbend.core.recent_request_ids import RecentRequestIds
@@ -37,8 +38,9 @@
     """Manages one director's requests, attempts and timers, between the fronts, the router and the backend.
 
     `backend` must be set before the first request, `peers` only if the director has peers. `endpoints` are the known
-    members by number. Four attributes are bound methods of other objects: `submit` of `RequestIntake`, `may_write` of
-    `SendGuard`, `finished` of `AttemptRunner`, and `class_index`, which is `TrafficClassIndex.index_of`.
+    members by number. Some attributes are bound methods of other objects: `submit` of `RequestIntake`, `may_write` and
+    `withhold_reason` of `SendGuard`, `finished` and `withhold` of `AttemptRunner`, and `class_index`, which is
+    `TrafficClassIndex.index_of`.
     """
 
     def __init__(
@@ -59,7 +61,7 @@
         self.timers = TimerQueue()
         self.traffic_classes = TrafficClassIndex(settings, clock)
         recent_ids = RecentRequestIds(clock, self.traffic_classes.id_retention_us)
-        self.requests = OpenRequestTable(counters, recent_ids, self.timers.note_obsolete)
+        self.requests = OpenRequestTable(counters, recent_ids, self.timers.note_obsolete, log)
         self.membership = MembershipView(settings, clock, lambda server: self.backend.disconnect(server))
         self.purges = ReceivedPurges(settings, clock)
         self._driver = RouterDriver(router, clock)
@@ -76,9 +78,12 @@
         self._settings = settings
         self.endpoints = self.membership.endpoints
         # Bound directly: a delegating method would add a call to each request.
-        self.may_write = SendGuard(self.membership, self.purges, clock).may_write
+        guard = SendGuard(self.membership, self.purges, clock)
+        self.may_write = guard.may_write
+        self.withhold_reason = guard.withhold_reason
         self.submit = self._intake.submit
         self.finished = self.attempts.finished
+        self.withhold = self.attempts.withhold
         self.class_index = self.traffic_classes.index_of
         self._post = self._driver.post
 
@@ -138,7 +143,7 @@
                 return
             self.attempts.withdraw(open_request, attempt)
         self.counters.clients_left += 1
-        self.requests.answer(open_request, rejection(open_request, self.retry_after_us))
+        self.requests.answer(open_request, rejection(open_request, self.retry_after_us), EndReason.CLIENT_LEFT)
         self._post(api.RequestCancelled(open_request.id))
         if attempt is not None:
             self.finished(attempt, AttemptResult(AttemptStatus.CANCELLED))
@@ -180,7 +185,11 @@
     def membership_changed(self, change: MembershipChange) -> None:
         """Applies a change of the membership: from now on no new attempt goes to a member that is not in service."""
         self.counters.roster_changes += 1
-        self._post(self.membership.apply(change))
+        previous = dict(self.endpoints)
+        updated = self.membership.apply(change)
+        if transitions := state_transitions(previous, self.endpoints, updated):
+            self.log("membership_changed", version=change.version, complete=change.complete, **transitions)
+        self._post(updated)
 
     def health_changed(self, endpoints: list[Endpoint]) -> None:
         """Applies the members whose state or weight, by health evidence, differs from that of the membership."""
--- a/rookbend/net/coordinator_calls.py
+++ b/rookbend/net/coordinator_calls.py
@@ -28,6 +28,7 @@
     connection: trio.SocketStream
     events: EventStream
     items: list[StreamItem]
+    waited_us: int  # from the call until the answer began
 
 
 class CoordinatorCalls:
--- a/rookbend/net/member_pool.py
+++ b/rookbend/net/member_pool.py
@@ -129,9 +129,9 @@
     def _write(self, connection: MemberConnection, attempt: Attempt) -> None:
         """Writes the attempt right after the last check that it may be written, with no other event in between."""
         engine = self.context.engine
-        if not engine.may_write(attempt):
-            engine.counters.withheld += 1
-            return engine.finished(attempt, AttemptResult(AttemptStatus.MOOT))
+        reason = engine.withhold_reason(attempt)
+        if reason is not None:
+            return engine.withhold(attempt, reason)
         now = engine.clock.now()
         source = engine.endpoints[attempt.source].name if attempt.source else ""
         connection.send(attempt, cache_lines.write_command(attempt, now, source), now)
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -42,6 +42,7 @@
         self.purged: Callable[[Purge], None] = engine.purged
         self.stream_received: Callable[[], None] = lambda: None  # called when bytes were received on the stream
         self.last_index = 0
+        self._received_us = engine.clock.now()  # when bytes of a stream were last received; at first, the start
         self._call_scope = trio.CancelScope()  # the call in progress, or the pause before the next
 
     def change_coordinator(self, address: tuple[str, int] | None) -> None:
@@ -56,6 +57,12 @@
         for update in known.updates:
             self._apply(update)
         self.last_index = max(self.last_index, known.index)
+        self.engine.log("known_events_applied", index=self.last_index, members=len(self.engine.endpoints))
+
+    def gauges(self) -> dict[str, float]:
+        """Gauges for the metrics, by name."""
+        silent_us = self.engine.clock.now() - self._received_us
+        return {"coordinator_event_index": self.last_index, "coordinator_silent_seconds": silent_us / 1e6}
 
     def _apply(self, update: Update) -> None:
         if update.index and update.index <= self.last_index:
@@ -106,8 +113,9 @@
         assert self.address is not None
         host, port = self.address
         clock = self.engine.clock
+        began_us = clock.now()
         connection = None
-        with trio.move_on_at(clock.monotonic_at(clock.now() + self.engine.settings.connect_timeout_us)):
+        with trio.move_on_at(clock.monotonic_at(began_us + self.engine.settings.connect_timeout_us)):
             connection = await trio.open_tcp_stream(host, port)
         if connection is None:
             raise StreamError("no connection")
@@ -117,7 +125,7 @@
             items: list[StreamItem] = []
             while not events.has_begun:
                 items = events.feed(bytes(await connection.receive_some(READ_BYTES)))
-            return AnsweredCall(connection, events, items)
+            return AnsweredCall(connection, events, items, clock.now() - began_us)
         except BaseException:
             await trio.aclose_forcefully(connection)
             raise
@@ -125,6 +133,8 @@
     async def _follow(self, call: AnsweredCall) -> None:
         """Applies the events of a stream until it ends. Raises one of CALL_ERRORS then."""
         clock, items = self.engine.clock, call.items
+        self.engine.counters.coordinator_streams += 1
+        self.engine.log("coordinator_stream_began", after_index=self.last_index, waited_ms=call.waited_us // 1000)
         async with call.connection:
             with trio.CancelScope() as silence_scope:
                 while True:
@@ -136,6 +146,7 @@
 
     def _process(self, items: list[StreamItem]) -> None:
         """Applies received events. Raises StreamError at the end of the stream."""
+        self._received_us = self.engine.clock.now()
         for event in items:
             if isinstance(event, StreamEnd):
                 raise StreamError("the stream has ended")
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -102,7 +102,7 @@
             self.reported_phase,
             self.metrics.sample,
             self.listeners,
-            gauges=[self.metrics.gauges],
+            gauges=[self.metrics.gauges, self.watch.gauges],
         )
         self.components: list[Component] = build_components(self.context)
         self.budget.component_descriptors = sum(component.descriptors for component in self.components)
