--- a/rookbend/testing/cluster/clients.py
+++ b/rookbend/testing/cluster/clients.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from rookbend.testing.cluster.admission_probe import check_open, check_ready
 from rookbend.testing.cluster.record import Record, now_us
 from rookbend.testing.cluster.relay import reset
 from rookbend.testing.cluster.shared_state import digest, group_of
@@ -50,6 +51,7 @@
         self.requests: list[ClientRequest] = []
         self.late_s = 0.0  # the longest delay of a request behind its due time, caused by a busy machine
         self.lost: list[LostRequest] = []
+        self.asks_readiness = True  # else a director is admitted once it accepts a connection
         self.honors_closing = True  # send no new request on a connection after its closing frame
         self.unsent = 0  # tries without an admitted director
         self.changed = trio.Event()  # set at each answer, admission and lost connection
@@ -73,10 +75,7 @@
             try:
                 stream = await trio.open_tcp_stream(*target.address)
                 async with stream:
-                    await stream.send_all(encode_frame(1, 1, {}))
-                    data = await stream.receive_some(4096)
-                    if len(data) < 10 or data[9] != 0:
-                        raise trio.BrokenResourceError("not ready")
+                    await (check_ready(stream) if self.asks_readiness else check_open(stream))
                 target.admitted = True
                 self.record.note("admitted", target.name)
                 self._notify()
@@ -180,6 +179,7 @@
             self.unsent += 1
             return self._schedule_retry(req, 0.5)
         target = self.random.choice(admitted)
+        req.directors.append(target.name)
         usable = [conn for conn in target.connections if len(conn.open) < MAX_STREAMS and not conn.closing]
         if not usable:
             req.verdicts.append("unsent")  # the director is gone and not noticed yet, or its connections are full
@@ -232,6 +232,11 @@
 
     # Results
 
+    @property
+    def open_requests(self) -> int:
+        """The number of requests that were sent and have no answer yet."""
+        return sum(len(conn.open) for target in self.targets.values() for conn in target.connections)
+
     def outcomes(self, since_us: int = 0, until_us: int = 1 << 62) -> list[RequestOutcome]:
         return [
             RequestOutcome(w.arrival_us, w.class_index, w.served_us or None)
--- a/rookbend/testing/cluster/coordinator.py
+++ b/rookbend/testing/cluster/coordinator.py
@@ -29,6 +29,9 @@
         self.phases: dict[str, str] = {}
         self.purges: list[tuple[int, dict]] = []
         self.is_disconnected = False
+        self.answer_delay_s = 0.0  # from a call until its answer begins
+        # Whether an event counts as told to all directors once it is here, rather than once it was written to each.
+        self.tells_at_once = False
         self.calls: dict[str, int] = {}
         self.last_sent_index: dict[str, int] = {}  # by director: the last event sent on its stream
         self._changed = trio.Event()
@@ -44,6 +47,9 @@
     def _add(self, event: dict) -> None:
         self.index += 1
         self.events.append((self.index, event))
+        if self.tells_at_once:
+            for director in self.last_sent_index:
+                self.record_delivery(director, event)
         self._changed.set()
         self._changed = trio.Event()
 
@@ -136,6 +142,7 @@
         if self.is_disconnected:
             return reset(stream)
         try:
+            await trio.sleep(self.answer_delay_s)
             head = (await stream.receive_some(4096)).decode("ascii", "replace").lower()
             last = next(
                 (int(line.split(":")[1]) for line in head.split("\r\n") if line.startswith("last-event-id:")), 0
--- a/rookbend/testing/cluster/workload.py
+++ b/rookbend/testing/cluster/workload.py
@@ -18,6 +18,7 @@
     part: int
     arrival_us: int
     tries: int = 0
+    directors: list[str] = field(default_factory=list)  # by try
     verdicts: list[str] = field(default_factory=list)
     served_us: int = 0
 
--- /dev/null
+++ b/tests/test_drain_during_start.py
@@ -0,0 +1,27 @@
+"""Caches begin to drain while a director starts: it sends nothing to them, although the list of its start has them."""
+
+import pytest
+import trio
+
+from rookbend.testing.cluster import drain_during_stop
+from rookbend.testing.cluster.drain_during_start import DrainDuringStart, play
+
+SHARE_SERVED = 0.5  # of the requests that went to a restarted director
+
+
+@pytest.mark.parametrize("asks_readiness", [True, False], ids=["admitted-when-ready", "not-noticed-by-the-front"])
+@pytest.mark.parametrize("answer_delay_s", [0.0, 1.0], ids=["prompt-coordinator", "crowded-coordinator"])
+def test_a_director_sends_to_no_cache_that_drained_after_the_list_of_its_start(answer_delay_s, asks_readiness):
+    # Guards against a director that serves from the list of its configuration before it has caught up (issue 60).
+    result = trio.run(play, DrainDuringStart(answer_delay_s=answer_delay_s, asks_readiness=asks_readiness))
+    print(result)
+    assert not result.violations, result.violations[:3]
+    assert result.at_restarted.total and not result.at_restarted.unanswered
+    assert result.at_restarted.served + result.at_restarted.late >= SHARE_SERVED * result.at_restarted.total
+
+
+def test_a_director_that_was_stopped_sends_to_no_cache_that_drained_meanwhile():
+    # Guards against requests that are sent on before the coordinator's events that arrived earlier are read (issue 60).
+    result = trio.run(drain_during_stop.play, drain_during_stop.DrainDuringStop())
+    print(result)
+    assert not result.violations, result.violations[:3]
