--- a/rookbend/testing/cluster/clients.py
+++ b/rookbend/testing/cluster/clients.py
@@ -18,7 +18,7 @@
 from rookbend.testing.cluster.traffic_classes import TRAFFIC_CLASSES, TrafficClass
 from rookbend.testing.cluster.workload import ClientRequest, FrontConnection, LostRequest, OpenRequest, Target
 from rookbend.testing.invariant_events import ClientClosed, RequestSent, ResponseReceived
-from rookbend.testing.open_loop_client import encode_frame
+from rookbend.testing.open_loop_client import decode_answer, encode_frame
 from rookbend.testing.weighted_score import RequestOutcome, earned_weight
 
 CONNECTION_ERRORS = OSError, trio.BrokenResourceError, trio.ClosedResourceError
@@ -143,13 +143,7 @@
             return  # 3, the closing frame: handled by `_read`
         stream, verdict = int.from_bytes(data[1:5], "big"), VERDICTS.get(data[5], "failed")
         rid, req, _ = conn.open.pop(stream, ("", None, 0))
-        fields, at = {}, 7
-        for _ in range(data[6]):
-            n = at + 1 + data[at]
-            v = n + 2 + int.from_bytes(data[n : n + 2], "big")
-            fields[data[at + 1 : n].decode()] = data[n + 2 : v].decode()
-            at = v
-        body = data[at:]
+        fields, body = decode_answer(data)
         self.record.feed(ResponseReceived(now_us(), rid or f"stream {stream}", verdict, digest(body) if body else ""))
         self.record.note("answer", verdict)
         if req is None:
--- a/rookbend/testing/open_loop_client.py
+++ b/rookbend/testing/open_loop_client.py
@@ -17,6 +17,7 @@
 _SERVED_POLL_S = 0.05
 _BOUND_RETRY_S = 0.001
 _LENGTH_BYTES = 4
+_ANSWER_FIELDS_OFFSET = 7  # behind the type, the stream, the code and the number of fields
 
 
 def encode_frame(kind: int, stream: int, fields: dict[str, str] | None = None, body: bytes = b"") -> bytes:
@@ -32,6 +33,19 @@
     return data
 
 
+def decode_answer(data: bytes) -> tuple[dict[str, str], bytes]:
+    """The fields and the body of an answer; `data` is its frame without the length."""
+    fields: dict[str, str] = {}
+    offset = _ANSWER_FIELDS_OFFSET
+    for _ in range(data[offset - 1]):
+        name_end = offset + 1 + data[offset]
+        value_start = name_end + 2
+        value_end = value_start + int.from_bytes(data[name_end:value_start], "big")
+        fields[data[offset + 1 : name_end].decode()] = data[value_start:value_end].decode()
+        offset = value_end
+    return fields, data[offset:]
+
+
 class RequestTiming(NamedTuple):
     """A completed request: its due time (monotonic), the duration from then, and the code of the response."""
 
