A director that starts holds requests until it has caught up with the coordinator

Cause: the director served, and said that it was ready, from the list in its configuration, which is as old as its process; the stream that brings what happened since had not even been answered. Change: from the start until the stream has begun and has been quiet for 0.2 s (1 s at most), requests are held and readiness is denied; 5 s at most where the coordinator can't be reached. Why it works: nothing reaches the decision module before the earlier events do.

--- a/rookbend/core/deadlines.py
+++ b/rookbend/core/deadlines.py
@@ -5,6 +5,7 @@
 from rookbend.core.attempts import AttemptRunner
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
+from rookbend.core.held_requests import HeldRequests
 from rookbend.core.model import Answer, FinalOutcome
 from rookbend.core.open_request import EndReason, OpenRequest, OpenRequestTable
 from rookbend.core.router_driver import RouterDriver
@@ -19,6 +20,7 @@
         self,
         timers: TimerQueue,
         requests: OpenRequestTable,
+        held: HeldRequests,
         attempts: AttemptRunner,
         driver: RouterDriver,
         clock: Clock,
@@ -27,6 +29,7 @@
         self.finish_all_at_us = 0
         self._timers = timers
         self._requests = requests
+        self._held = held
         self._attempts = attempts
         self._driver = driver
         self._clock = clock
@@ -45,6 +48,8 @@
                 attempt = self._requests.attempt_in_flight(subject)
                 if attempt is not None:
                     self._attempts.expire(attempt)
+            elif kind is TimerKind.HELD_REQUEST:
+                self._held.expire(subject)
             else:
                 open_request = self._requests.by_id.get(subject)
                 if open_request is not None and open_request.deadline_us <= now_us:
@@ -56,6 +61,8 @@
             return self._requests.attempt_in_flight(timer.subject) is not None
         if timer.kind is TimerKind.ROUTER:
             return self._driver.router.needs_timer(timer.subject)
+        if timer.kind is TimerKind.HELD_REQUEST:
+            return self._held.is_held(timer.subject)
         return timer.subject in self._requests.by_id
 
     def finish_all_by(self, at_us: int) -> None:
@@ -65,6 +72,7 @@
             if open_request.deadline_us > at_us:
                 open_request.deadline_us = at_us
                 self._timers.schedule(at_us, TimerKind.REQUEST_DEADLINE, open_request.id)
+        self._held.deadlines_changed()
 
     def _expire(self, open_request: OpenRequest) -> None:
         """Fails a request that the router has not ended by its deadline."""
--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -16,6 +16,7 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.deadlines import DeadlineEnforcer
+from rookbend.core.held_requests import HeldRequests
 from rookbend.core.membership_transitions import state_transitions
 from rookbend.core.membership_view import MembershipView
 from rookbend.core.model import AttemptResult, Endpoint, MembershipChange, Purge
@@ -71,9 +72,13 @@
         self._driver.handlers = ActionHandlers(
             self.requests, self.attempts, self.timers, self._driver, log, self._send_to_peer
         ).by_type()
-        self._deadlines = DeadlineEnforcer(self.timers, self.requests, self.attempts, self._driver, clock, counters)
+        held = HeldRequests(self.requests, self.timers, clock, self._pass_on_held, lambda: self.retry_after_us)
+        self.held_requests = held
+        self._deadlines = DeadlineEnforcer(
+            self.timers, self.requests, held, self.attempts, self._driver, clock, counters
+        )
         self._intake = RequestIntake(
-            settings, self.requests, self.timers, self._deadlines, self._driver, clock, counters
+            settings, self.requests, held, self.timers, self._deadlines, self._driver, clock, counters
         )
         self._settings = settings
         self.endpoints = self.membership.endpoints
@@ -119,6 +124,9 @@
         """The number of requests that have no final answer yet."""
         return len(self.requests.by_id)
 
+    def _pass_on_held(self, open_request: OpenRequest) -> None:
+        self._intake.pass_on(open_request)
+
     # Called by the fronts
 
     def cancel(self, open_request: OpenRequest | None) -> None:
@@ -172,9 +180,9 @@
         """Runs every timer that is due; returns when the next one is due, or 0 if there is none."""
         return self._deadlines.run_due()
 
-    def has_member_in_service(self) -> bool:
-        """Whether any known member accepts new requests."""
-        return self.membership.has_member_in_service()
+    def is_able_to_serve(self) -> bool:
+        """Whether new requests are passed on at once, and any known member accepts them."""
+        return not self.held_requests.is_holding and self.membership.has_member_in_service()
 
     def is_in_service(self, server: int) -> bool:
         """Whether a member is known and accepts new requests."""
--- a/rookbend/core/open_request.py
+++ b/rookbend/core/open_request.py
@@ -21,6 +21,7 @@
     DECISION = "decision"  # of the router
     DEADLINE = "deadline"  # the router had not ended it by then
     CLIENT_LEFT = "client_left"
+    CATCHING_UP = "catching_up"  # held until the membership had caught up with the coordinator, for too long
 
 
 @dataclass(slots=True, eq=False)
--- a/rookbend/core/request_intake.py
+++ b/rookbend/core/request_intake.py
@@ -7,22 +7,27 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.deadlines import DeadlineEnforcer
+from rookbend.core.held_requests import HeldRequests
 from rookbend.core.model import Answer, FinalOutcome, Request
 from rookbend.core.open_request import OpenRequest, OpenRequestTable
 from rookbend.core.rejection import retry_after_us
 from rookbend.core.router_driver import RouterDriver
 from rookbend.core.timers import TimerKind, TimerQueue
-from rookbend.interface import Idempotency, RequestArrived, Settings, TrafficClass
+from rookbend.interface import Idempotency, RequestArrived, Settings
 
 
 class RequestIntake:
     """A request fails at once if its deadline has passed, or if another one under its id is open or may have run:
-    members identify requests by their ids alone. A write is rejected if its id could not be remembered."""
+    members identify requests by their ids alone. A write is rejected if its id could not be remembered.
+
+    `held` has the requests that wait until the membership has caught up with the coordinator.
+    """
 
     def __init__(
         self,
         settings: Settings,
         requests: OpenRequestTable,
+        held: HeldRequests,
         timers: TimerQueue,
         deadlines: DeadlineEnforcer,
         driver: RouterDriver,
@@ -36,6 +41,7 @@
         self._driver = driver
         self._clock = clock
         self._counters = counters
+        self._held = held
 
     def submit(self, request: Request, reply: Callable[[Answer], None]) -> OpenRequest | None:
         """Accepts a request; `reply` is called exactly once, unless the request is cancelled first.
@@ -57,9 +63,31 @@
             return None
         open_request = self._requests.add(request, reply, is_idempotent, self.settings.max_attempts)
         self._timers.schedule(request.deadline_us, TimerKind.REQUEST_DEADLINE, open_request.id)
-        self._driver.post(arrival_of(open_request, traffic_class))
+        if self._held.is_holding:
+            self._held.hold(open_request)
+        else:
+            self.pass_on(open_request)
         return open_request
 
+    def pass_on(self, open_request: OpenRequest) -> None:
+        """Passes a request to the router."""
+        request = open_request.request
+        traffic_class = self.settings.classes[request.traffic_class]
+        self._driver.post(
+            RequestArrived(
+                open_request.id,
+                request.traffic_class,
+                request.object_id,
+                open_request.deadline_us,
+                0.0,
+                request.group,
+                request.part,
+                0,
+                request.is_retry,
+                traffic_class.is_write,
+            )
+        )
+
     def _immediate_outcome(self, request: Request, is_idempotent: bool) -> FinalOutcome | None:
         """The outcome of a request that is not passed to the router; None if it is."""
         requests = self._requests
@@ -73,20 +101,3 @@
         if not is_idempotent and not requests.recent_ids.has_capacity_for_write():
             return FinalOutcome.REJECTED
         return None
-
-
-def arrival_of(open_request: OpenRequest, traffic_class: TrafficClass) -> RequestArrived:
-    """The event that reports a request to the router."""
-    request = open_request.request
-    return RequestArrived(
-        open_request.id,
-        request.traffic_class,
-        request.object_id,
-        request.deadline_us,
-        0.0,
-        request.group,
-        request.part,
-        0,
-        request.is_retry,
-        traffic_class.is_write,
-    )
--- a/rookbend/core/timers.py
+++ b/rookbend/core/timers.py
@@ -15,6 +15,7 @@
 
     ATTEMPT_TIMEOUT = "attempt timeout"  # an AttemptKey
     REQUEST_DEADLINE = "request deadline"  # the request's number
+    HELD_REQUEST = "held request"  # the request's number
     ROUTER = "router"  # the router's token
 
 
--- /dev/null
+++ b/rookbend/net/catch_up.py
@@ -0,0 +1,68 @@
+"""Catching up with the coordinator after a start.
+
+The events in the configuration are as old as the start of the process at least. What has happened since counts as known
+to the director, although only a stream of the coordinator brings it. Until a stream has begun and has brought them,
+new requests are held (`core/held_requests.py`) and the director does not report that it is ready.
+
+The protocol marks no end of the earlier events: they have arrived once the stream has been quiet for `QUIET_US`, or has
+lasted for `MAX_DELIVERY_US`. A director that can't reach the coordinator serves after `MAX_CATCH_UP_US` with what it
+knows, as one does that has lost it.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from rookbend.core.engine import Engine
+from rookbend.net.coordinator_calls import AnsweredCall
+
+QUIET_US = 200_000
+MAX_DELIVERY_US = 1_000_000
+MAX_CATCH_UP_US = 5_000_000  # with up to 4 s for the start of the process, ready within 10 s
+
+
+class CatchUp:
+    """The state of one start: `is_complete` once requests are passed on."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.is_complete = True
+        self._engine = engine
+        self._clock = engine.clock
+        self._began_us = 0
+        self._delivered_by_us = 0
+
+    def begin(self) -> None:
+        """Holds new requests from now on."""
+        self.is_complete = False
+        self._began_us = self._clock.now()
+        self._engine.held_requests.is_holding = True
+
+    def stream_began(self) -> None:
+        """A stream of the coordinator has begun."""
+        self._delivered_by_us = self._clock.now() + MAX_DELIVERY_US
+
+    async def receive(self, call: AnsweredCall, max_bytes: int) -> bytes:
+        """The next bytes of the stream; completes the catch-up if there are none for long enough."""
+        if not self.is_complete:
+            with trio.move_on_at(self._clock.monotonic_at(self._delivered_at_us(call))):
+                return bytes(await call.connection.receive_some(max_bytes))
+            self._complete("caught_up")
+        return bytes(await call.connection.receive_some(max_bytes))
+
+    def _delivered_at_us(self, call: AnsweredCall) -> int:
+        """When the earlier events count as delivered if nothing more is received."""
+        if call.events.has_partial_event:
+            return self._delivered_by_us
+        return min(self._clock.now() + QUIET_US, self._delivered_by_us)
+
+    async def limit(self) -> None:
+        """Ends the catch-up when its time is over."""
+        await trio.sleep_until(self._clock.monotonic_at(self._began_us + MAX_CATCH_UP_US))
+        if not self.is_complete:
+            self._complete("catch_up_incomplete", "warning")
+
+    def _complete(self, event: str, level: str = "info") -> None:
+        self.is_complete = True
+        after_ms = (self._clock.now() - self._began_us) // 1000
+        released = self._engine.held_requests.release()
+        self._engine.log(event, level, after_ms=after_ms, released=released)
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -14,6 +14,7 @@
 from rookbend.core.engine import Engine
 from rookbend.core.model import MembershipChange, Purge
 from rookbend.core.reported_times import ReportedTimes
+from rookbend.net.catch_up import CatchUp
 from rookbend.net.coordinator_calls import CALL_ERRORS, AnsweredCall, CoordinatorCalls
 from rookbend.net.reconnect_backoff import ReconnectBackoff
 from rookbend.protocol.coordinator_stream import KnownEvents, StreamError, Translator, Update
@@ -36,6 +37,7 @@
         self.translator = translator
         self.address = address
         self.reported_times = ReportedTimes(engine.clock)
+        self.catch_up = CatchUp(engine)
         settings = engine.settings
         self.backoff = ReconnectBackoff(settings.router_index, settings.router_count, seed)
         self.membership_changed: Callable[[MembershipChange], None] = engine.membership_changed
@@ -53,11 +55,13 @@
         self._call_scope.cancel()
 
     def apply_known_events(self, known: KnownEvents) -> None:
-        """Applies the events that are part of the configuration."""
+        """Applies the events that are part of the configuration. New requests are held until `catch_up` is complete."""
         for update in known.updates:
             self._apply(update)
         self.last_index = max(self.last_index, known.index)
         self.engine.log("known_events_applied", index=self.last_index, members=len(self.engine.endpoints))
+        if self.address is not None:
+            self.catch_up.begin()
 
     def gauges(self) -> dict[str, float]:
         """Gauges for the metrics, by name."""
@@ -89,6 +93,11 @@
 
     async def run(self) -> None:
         """Calls the coordinator repeatedly until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.catch_up.limit)
+            await self._follow_streams()
+
+    async def _follow_streams(self) -> None:
         while True:
             index_before = self.last_index
             with trio.CancelScope() as self._call_scope:
@@ -134,6 +143,7 @@
         """Applies the events of a stream until it ends. Raises one of CALL_ERRORS then."""
         clock, items = self.engine.clock, call.items
         self.engine.counters.coordinator_streams += 1
+        self.catch_up.stream_began()
         self.engine.log("coordinator_stream_began", after_index=self.last_index, waited_ms=call.waited_us // 1000)
         async with call.connection:
             with trio.CancelScope() as silence_scope:
@@ -141,7 +151,7 @@
                     self._process(items)
                     items = []
                     silence_scope.deadline = clock.monotonic_at(clock.now() + SILENCE_TIMEOUT_US)
-                    items = call.events.feed(bytes(await call.connection.receive_some(READ_BYTES)))
+                    items = call.events.feed(await self.catch_up.receive(call, READ_BYTES))
             raise StreamError("the stream is silent")
 
     def _process(self, items: list[StreamItem]) -> None:
--- a/rookbend/protocol/event_stream.py
+++ b/rookbend/protocol/event_stream.py
@@ -49,6 +49,11 @@
         self._event_data: list[bytes] = []  # data of the incomplete event
         self._event_index = 0
 
+    @property
+    def has_partial_event(self) -> bool:
+        """Whether the bytes received so far end within an event."""
+        return bool(self._line_buffer or self._event_data)
+
     def start(self) -> bytes:
         """The request's bytes."""
         return (self._http.send(self._request) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -137,12 +137,12 @@
 
     def is_ready(self) -> bool:
         """Whether requests can be served, which needs at least one member in service."""
-        return self.phase is Phase.READY and self.engine.has_member_in_service() and self.context.may_report_ready()
+        return self.phase is Phase.READY and self.engine.is_able_to_serve() and self.context.may_report_ready()
 
     def reported_phase(self) -> str:
-        """The phase reported to balancers in front: `starting` for as long as a component delays readiness."""
-        is_held_back = self.phase is Phase.READY and not self.context.may_report_ready()
-        return (Phase.STARTING if is_held_back else self.phase).value
+        """The phase reported to balancers in front: `starting` for as long as readiness is delayed."""
+        may_report_ready = self.context.may_report_ready() and not self.engine.held_requests.is_holding
+        return (self.phase if may_report_ready or self.phase is not Phase.READY else Phase.STARTING).value
 
     def is_closed(self) -> bool:
         """Whether new requests are rejected, since the drain's grace period is over."""
--- a/rookbend/testing/cluster/coordinator.py
+++ b/rookbend/testing/cluster/coordinator.py
@@ -29,6 +29,7 @@
         self.phases: dict[str, str] = {}
         self.purges: list[tuple[int, dict]] = []
         self.is_disconnected = False
+        self.unreachable_to: set[str] = set()  # directors whose calls are reset
         self.answer_delay_s = 0.0  # from a call until its answer begins
         # Whether an event counts as told to all directors once it is here, rather than once it was written to each.
         self.tells_at_once = False
@@ -139,7 +140,7 @@
     async def _serve(self, director: str, stream: trio.SocketStream) -> None:
         self.calls[director] = self.calls.get(director, 0) + 1
         self.record.note("coordinator call", director)
-        if self.is_disconnected:
+        if self.is_disconnected or director in self.unreachable_to:
             return reset(stream)
         try:
             await trio.sleep(self.answer_delay_s)
--- a/rookbend/testing/cluster/drain_during_start.py
+++ b/rookbend/testing/cluster/drain_during_start.py
@@ -31,7 +31,7 @@
     rate: float = 80.0  # requests per second
     list_age_s: float = 1.0  # from the list in the configuration, and the drains, until the start
     answer_delay_s: float = 0.0  # of the coordinator
-    unreachable_s: float = 0.0  # of the coordinator, from the start on
+    unreachable_s: float = 0.0  # of the coordinator, to those that start, from the start on
     observed_s: float = 4.0  # from the start on
     asks_readiness: bool = True
 
@@ -76,8 +76,7 @@
     front.asks_readiness = scenario.asks_readiness
     coordinator.tells_at_once = True
     coordinator.answer_delay_s = scenario.answer_delay_s
-    if scenario.unreachable_s:
-        coordinator.disconnect()
+    coordinator.unreachable_to.update(restarted if scenario.unreachable_s else ())
     known = {name: coordinator.known_at_start(name, PURGE_LIFE_US) for name in restarted}
     drained = [cache.name for cache in cluster.caches[: scenario.drained]]
     for name in drained:
@@ -87,10 +86,10 @@
     started_us, started_s = now_us(), trio.current_time()
     for name in restarted:
         await cluster.start(name, known=known[name])
-    cluster.nursery.start_soon(_reconnect, cluster, scenario.unreachable_s)
+    cluster.nursery.start_soon(_make_reachable, cluster, scenario.unreachable_s)
     await cluster.wait_until_admitted(*restarted)
     admission_s = trio.current_time() - started_s
-    await trio.sleep(scenario.observed_s - admission_s)
+    await trio.sleep(max(0.0, scenario.observed_s - admission_s))
     front.running.cancel()
     await cluster.wait_until(lambda: not front.open_requests, "all requests are answered")
     requests = [request for request in front.requests if request.arrival_us >= started_us]
@@ -102,7 +101,6 @@
     )
 
 
-async def _reconnect(cluster: ProcessCluster, after_s: float) -> None:
-    if after_s:
-        await trio.sleep(after_s)
-        cluster.coordinator.reconnect()
+async def _make_reachable(cluster: ProcessCluster, after_s: float) -> None:
+    await trio.sleep(after_s)
+    cluster.coordinator.unreachable_to.clear()
--- a/rookbend/testing/cluster/request_outcomes.py
+++ b/rookbend/testing/cluster/request_outcomes.py
@@ -27,6 +27,11 @@
         """The number of requests."""
         return sum(asdict(self).values())
 
+    @property
+    def share_served(self) -> float:
+        """The share that was served, late or not; 0 without requests."""
+        return (self.served + self.late) / self.total if self.total else 0.0
+
 
 def count_outcomes(requests: Iterable[ClientRequest]) -> RequestOutcomes:
     """Counts the outcomes; a request that was not served counts by its last try."""
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -182,12 +182,15 @@
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.port, self.index = listeners[0].socket.getsockname()[1], 1
         self.lock = trio.Lock()
+        self.answering = trio.Event()  # until it is set, calls are accepted and not answered
+        self.answering.set()
         self.harness.nursery.start_soon(trio.serve_listeners, self.read, listeners)
 
     async def read(self, stream):
         self.streams.append(stream)
         head = (await stream.receive_some()).decode()
         self.record("call", *(line.replace(": ", "=") for line in head.split("\r\n")))
+        await self.answering.wait()
         await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
         try:
             while True:
