After a pause of the event loop the coordinator's stream is read before anything else is done

What callers would see: a director that was stopped, or got no processor time, for longer than the grace sends requests to servers whose drain had arrived meanwhile. Cause, of the class of the start's: what is known counts as current although newer events are there to be read; tasks run in no particular order, so clients' requests may come first. Change: a trio instrument notices a pause of 0.1 s before any task runs, and the events that wait in the stream's socket are applied. A stream that only seemed silent while the process stood still is kept; where one ended during a pause of 0.5 s or more, requests are held until the director has caught up, as after a start.

--- a/rookbend/core/clock.py
+++ b/rookbend/core/clock.py
@@ -13,17 +13,17 @@
 
     All times inside the program are on this clock, and spans of it are spans of real time. Purges and starts of other
     processes are on the system's Unix clock, so `anchor` is called with the coordinator's events: this clock follows it
-    forward where it drifts, and not where it is stepped.
+    forward where it drifts, and not where it is stepped. `monotonic_s` reads the monotonic clock, in seconds.
     """
 
     def __init__(self, monotonic: Callable[[], float], unix: Callable[[], float] = time.time) -> None:
-        self._monotonic = monotonic
+        self.monotonic_s = monotonic
         self._unix = unix
         self._offset_us = self._read_offset_us()
         self.has_stepped = False  # the system's clock was stepped: it and this one tell different times
 
     def _read_offset_us(self) -> int:
-        return int(self._unix() * 1e6) - int(self._monotonic() * 1e6)
+        return int(self._unix() * 1e6) - int(self.monotonic_s() * 1e6)
 
     def anchor(self) -> None:
         """Reads the system's Unix clock again."""
@@ -36,11 +36,11 @@
 
     def now(self) -> int:
         """The current time, in microseconds."""
-        return int(self._monotonic() * 1e6) + self._offset_us
+        return int(self.monotonic_s() * 1e6) + self._offset_us
 
     def monotonic_us(self) -> int:
         """The monotonic clock, in microseconds: not affected by steps of the system clock."""
-        return int(self._monotonic() * 1e6)
+        return int(self.monotonic_s() * 1e6)
 
     def monotonic_at(self, now_us: int) -> float:
         """The monotonic reading, in seconds, at which this clock shows `now_us`."""
--- a/rookbend/net/catch_up.py
+++ b/rookbend/net/catch_up.py
@@ -1,4 +1,4 @@
-"""Catching up with the coordinator after a start.
+"""Catching up with the coordinator, after a start or a long pause of the process.
 
 The events in the configuration are as old as the start of the process at least. What has happened since counts as known
 to the director, although only a stream of the coordinator brings it. Until a stream has begun and has brought them,
@@ -6,7 +6,7 @@
 
 The protocol marks no end of the earlier events: they have arrived once the stream has been quiet for `QUIET_US`, or has
 lasted for `MAX_DELIVERY_US`. A director that can't reach the coordinator serves after `MAX_CATCH_UP_US` with what it
-knows, as one does that has lost it.
+knows, as one does that has lost it. The same holds for a director that was stopped until its stream had ended.
 """
 
 from __future__ import annotations
@@ -14,7 +14,6 @@
 import trio
 
 from rookbend.core.engine import Engine
-from rookbend.net.coordinator_calls import AnsweredCall
 
 QUIET_US = 200_000
 MAX_DELIVERY_US = 1_000_000
@@ -22,44 +21,46 @@
 
 
 class CatchUp:
-    """The state of one start: `is_complete` once requests are passed on."""
+    """`is_complete` tells whether requests are passed on."""
 
     def __init__(self, engine: Engine) -> None:
         self.is_complete = True
         self._engine = engine
         self._clock = engine.clock
         self._began_us = 0
+        self._begun = trio.Event()
         self._delivered_by_us = 0
 
     def begin(self) -> None:
         """Holds new requests from now on."""
         self.is_complete = False
         self._began_us = self._clock.now()
+        self._begun.set()
         self._engine.held_requests.is_holding = True
 
     def stream_began(self) -> None:
         """A stream of the coordinator has begun."""
         self._delivered_by_us = self._clock.now() + MAX_DELIVERY_US
 
-    async def receive(self, call: AnsweredCall, max_bytes: int) -> bytes:
-        """The next bytes of the stream; completes the catch-up if there are none for long enough."""
-        if not self.is_complete:
-            with trio.move_on_at(self._clock.monotonic_at(self._delivered_at_us(call))):
-                return bytes(await call.connection.receive_some(max_bytes))
-            self._complete("caught_up")
-        return bytes(await call.connection.receive_some(max_bytes))
-
-    def _delivered_at_us(self, call: AnsweredCall) -> int:
-        """When the earlier events count as delivered if nothing more is received."""
-        if call.events.has_partial_event:
+    def delivered_at_us(self, has_partial_event: bool) -> int:
+        """When the earlier events count as delivered if nothing more is received; `has_partial_event` tells whether
+        the stream has stopped within one."""
+        if has_partial_event:
             return self._delivered_by_us
         return min(self._clock.now() + QUIET_US, self._delivered_by_us)
 
+    def delivered(self) -> None:
+        """The earlier events have been delivered: passes on the requests."""
+        self._complete("caught_up")
+
     async def limit(self) -> None:
-        """Ends the catch-up when its time is over."""
-        await trio.sleep_until(self._clock.monotonic_at(self._began_us + MAX_CATCH_UP_US))
-        if not self.is_complete:
-            self._complete("catch_up_incomplete", "warning")
+        """Ends each catch-up when its time is over; runs until cancelled."""
+        while True:
+            await self._begun.wait()
+            self._begun = trio.Event()
+            await trio.sleep_until(self._clock.monotonic_at(self._began_us + MAX_CATCH_UP_US))
+            if not self.is_complete:
+                self._complete("catch_up_incomplete", "warning")
 
     def _complete(self, event: str, level: str = "info") -> None:
         self.is_complete = True
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -16,12 +16,14 @@
 from rookbend.core.reported_times import ReportedTimes
 from rookbend.net.catch_up import CatchUp
 from rookbend.net.coordinator_calls import CALL_ERRORS, AnsweredCall, CoordinatorCalls
+from rookbend.net.loop_pause import LoopPauseInstrument
 from rookbend.net.reconnect_backoff import ReconnectBackoff
+from rookbend.net.stream_reader import READ_BYTES, StreamReader
 from rookbend.protocol.coordinator_stream import KnownEvents, StreamError, Translator, Update
 from rookbend.protocol.event_stream import EventStream, StreamEnd, StreamItem, UnreadableEvent
 
 STREAM_PATH = "/v2/stream"
-READ_BYTES = 65536
+MAX_UNFOLLOWED_PAUSE_US = 500_000  # the shortest grace of the platform for drains and purges
 SILENCE_TIMEOUT_US = 2_200_000  # the coordinator sends a comment each second: a stream that missed two is dead
 
 
@@ -38,6 +40,7 @@
         self.address = address
         self.reported_times = ReportedTimes(engine.clock)
         self.catch_up = CatchUp(engine)
+        self.loop_pause = LoopPauseInstrument(engine.clock, self.loop_paused)
         settings = engine.settings
         self.backoff = ReconnectBackoff(settings.router_index, settings.router_count, seed)
         self.membership_changed: Callable[[MembershipChange], None] = engine.membership_changed
@@ -45,6 +48,7 @@
         self.stream_received: Callable[[], None] = lambda: None  # called when bytes were received on the stream
         self.last_index = 0
         self._received_us = engine.clock.now()  # when bytes of a stream were last received; at first, the start
+        self._stream: StreamReader | None = None
         self._call_scope = trio.CancelScope()  # the call in progress, or the pause before the next
 
     def change_coordinator(self, address: tuple[str, int] | None) -> None:
@@ -95,7 +99,11 @@
         """Calls the coordinator repeatedly until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.catch_up.limit)
-            await self._follow_streams()
+            trio.lowlevel.add_instrument(self.loop_pause)
+            try:
+                await self._follow_streams()
+            finally:
+                trio.lowlevel.remove_instrument(self.loop_pause)
 
     async def _follow_streams(self) -> None:
         while True:
@@ -141,18 +149,42 @@
 
     async def _follow(self, call: AnsweredCall) -> None:
         """Applies the events of a stream until it ends. Raises one of CALL_ERRORS then."""
-        clock, items = self.engine.clock, call.items
         self.engine.counters.coordinator_streams += 1
-        self.catch_up.stream_began()
         self.engine.log("coordinator_stream_began", after_index=self.last_index, waited_ms=call.waited_us // 1000)
-        async with call.connection:
-            with trio.CancelScope() as silence_scope:
+        self.catch_up.stream_began()
+        self._stream = stream = StreamReader(call, self.engine.clock)
+        try:
+            async with call.connection:
+                self._process(call.items)
                 while True:
-                    self._process(items)
-                    items = []
-                    silence_scope.deadline = clock.monotonic_at(clock.now() + SILENCE_TIMEOUT_US)
-                    items = call.events.feed(await self.catch_up.receive(call, READ_BYTES))
-            raise StreamError("the stream is silent")
+                    self._process(await self._receive(stream))
+        finally:
+            self._stream = None
+
+    async def _receive(self, stream: StreamReader) -> list[StreamItem]:
+        """What is received next. Raises one of CALL_ERRORS, also if the stream is silent."""
+        if not self.catch_up.is_complete:
+            items = await stream.receive_until(self.catch_up.delivered_at_us(stream.has_partial_event))
+            if items is not None:
+                return items
+            self.catch_up.delivered()
+        while (silent_at_us := self._received_us + SILENCE_TIMEOUT_US) > self.engine.clock.now():
+            items = await stream.receive_until(silent_at_us)
+            if items is not None:
+                return items
+        raise StreamError("the stream is silent")
+
+    def loop_paused(self, pause_us: int) -> None:
+        """Applies what the coordinator has sent during a pause of the event loop, before anything else is done."""
+        stream = self._stream
+        if stream is None:
+            return
+        try:
+            self._process(stream.receive_now())
+        except StreamError:
+            stream.is_ended = True  # raised again by the next read of the task that follows the stream
+        if stream.is_ended and pause_us >= MAX_UNFOLLOWED_PAUSE_US:
+            self.catch_up.begin()
 
     def _process(self, items: list[StreamItem]) -> None:
         """Applies received events. Raises StreamError at the end of the stream."""
--- a/rookbend/testing/cluster/request_outcomes.py
+++ b/rookbend/testing/cluster/request_outcomes.py
@@ -11,13 +11,15 @@
 
 @dataclass
 class RequestOutcomes:
-    """Requests with their retries, each counted once. `late`: served after the latency objective of their class."""
+    """Requests with their retries, each counted once. `late`: served after the latency objective of their class;
+    `unsent`: the last try found no director, or no connection with a place."""
 
     served: int = 0
     late: int = 0
     refused: int = 0
     failed: int = 0
     unanswered: int = 0
+    unsent: int = 0
 
     def __str__(self) -> str:
         return ", ".join(f"{name} {number}" for name, number in asdict(self).items())
@@ -46,6 +48,8 @@
             outcomes.refused += 1
         elif last_verdict == "failed":
             outcomes.failed += 1
+        elif last_verdict == "unsent" or not request.directors:
+            outcomes.unsent += 1
         else:
             outcomes.unanswered += 1
     return outcomes
--- /dev/null
+++ b/tests/test_loop_pause.py
@@ -0,0 +1,63 @@
+"""After a pause of the event loop, what the coordinator has sent counts before anything else is done."""
+
+import json
+import os
+
+import pytest
+import trio
+
+from rookbend.core.clock import Clock
+from rookbend.net import watch
+from rookbend.net.loop_pause import MIN_PAUSE_S, LoopPauseInstrument
+from tests.director_scenario import run_with_director
+
+SHORT_PAUSE_US = int(MIN_PAUSE_S * 1e6)
+LONG_PAUSE_US = watch.MAX_UNFOLLOWED_PAUSE_US
+CONNECTED = """
+    client send request 1 video
+    cache1 expect do
+    cache1 send ok body=hello
+    client expect served 1
+"""
+
+
+def send_drain(harness, name):
+    """Writes the event to the director's stream without letting the event loop run."""
+    event = {"index": 2, "endpoints": {"members": [harness.member(name, "DRAINING")]}}
+    stream = harness.actors["coordinator"].streams[-1]
+    os.write(stream.socket.fileno(), f"id: 2\ndata: {json.dumps(event)}\n\n".encode())
+
+
+def server_of(harness, name):
+    return next(s for s, endpoint in harness.service.engine.endpoints.items() if endpoint.name == name)
+
+
+def test_a_pause_is_reported_before_the_next_task_runs_and_only_once():
+    now_s, pauses = [0.0], []
+    instrument = LoopPauseInstrument(Clock(lambda: now_s[0], lambda: 0.0), pauses.append)
+    for step_s in (0.05, 0.0999, 1.5, 0.0, 0.25):
+        now_s[0] += step_s
+        instrument.before_task_step()
+    assert [round(pause_us, -3) for pause_us in pauses] == [1_500_000, 250_000]
+
+
+def test_a_drain_that_waits_in_the_socket_counts_after_a_pause():
+    async def check(harness):
+        await harness.play(CONNECTED)
+        send_drain(harness, "cache1")
+        assert harness.service.engine.is_in_service(server_of(harness, "cache1"))
+        harness.service.watch.loop_paused(SHORT_PAUSE_US)
+        assert not harness.service.engine.is_in_service(server_of(harness, "cache1"))
+
+    run_with_director(check)
+
+
+@pytest.mark.parametrize("pause_us, is_holding", [(SHORT_PAUSE_US, False), (LONG_PAUSE_US, True)])
+def test_a_stream_that_ended_during_a_long_pause_is_caught_up_with(pause_us, is_holding):
+    async def check(harness):
+        harness.actors["coordinator"].streams[-1].socket.shutdown(trio.socket.SHUT_WR)
+        harness.service.watch.loop_paused(pause_us)
+        assert harness.service.engine.held_requests.is_holding is is_holding
+        await harness.play("director wait 2\nclient send ready? 1\nclient expect ready served 1")
+
+    run_with_director(check)
