A drain or a purge takes back attempts that wait in a send buffer

What callers would see: an attempt to a server that drains, or for a purged copy, written longer after the event than the grace. Cause: the last check came before the bytes entered the buffer of a connection; they leave it at the end of the turn of the event loop, or when a member that had stopped reading reads again. Change: after each change of the membership, of health, or purge, attempts of which no byte was sent and that may not be written any more are withdrawn, from queues and buffers, and decided again; so they are where a member is removed or moves. The event loop's pauses are looked for before each send too.

--- a/rookbend/assembly.py
+++ b/rookbend/assembly.py
@@ -42,10 +42,12 @@
     return Engine(settings, router, clock, counters, log)
 
 
-def build_watch(config: Config, engine: Engine) -> Watch:
-    """Builds the watch, which follows the coordinator's event stream."""
+def build_watch(config: Config, engine: Engine, write_scheduler: WriteScheduler) -> Watch:
+    """Builds the watch, which follows the coordinator's stream, and looks for pauses of the loop before each send."""
     translator = Translator(config.settings.zones, config.settings.kinds)
-    return Watch(engine, translator, coordinator_address(config), int(config.seed, 16))
+    watch = Watch(engine, translator, coordinator_address(config), int(config.seed, 16))
+    write_scheduler.before_send = watch.loop_pause.before_task_step
+    return watch
 
 
 def build_pool(
--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -198,11 +198,13 @@
         if transitions := state_transitions(previous, self.endpoints, updated):
             self.log("membership_changed", version=change.version, complete=change.complete, **transitions)
         self._post(updated)
+        self.backend.withhold_unsent()
 
     def health_changed(self, endpoints: list[Endpoint]) -> None:
         """Applies the members whose state or weight, by health evidence, differs from that of the membership."""
         self.counters.judgements += len(endpoints)
         self._post(self.membership.apply(MembershipChange(False, 0, endpoints)))
+        self.backend.withhold_unsent()
 
     def member_restarted(self, server: int) -> None:
         """Handles a detected restart: the member counts as started now until the membership reports its start."""
@@ -218,6 +220,7 @@
         """Handles a purge: attempts that were decided before it are no longer written."""
         self.counters.purges += 1
         self._post(self.purges.record(purge))
+        self.backend.withhold_unsent()
 
     def set_admission_limits(self, rejected_classes: frozenset[int], fills_per_s: float | None) -> None:
         """Sets the router's admission limits: see `interface.AdmissionLimitsChanged`."""
--- a/rookbend/core/ports.py
+++ b/rookbend/core/ports.py
@@ -37,6 +37,9 @@
     def disconnect(self, server: int) -> None:
         """Closes the connections to a member that has left or has another address."""
 
+    def withhold_unsent(self) -> None:
+        """Ends the attempts of which nothing was sent yet, and that may not be written any more."""
+
     def close_idle(self, server: int) -> None:
         """Closes the connections to a member that carry no attempt."""
 
--- a/rookbend/net/loop_pause.py
+++ b/rookbend/net/loop_pause.py
@@ -15,11 +15,11 @@
 
 
 class LoopPauseInstrument(trio.abc.Instrument):
-    """Calls `on_pause(pause_us)` after a pause of the loop, before any task runs."""
+    """Calls each of `on_pause` with the length of a pause of the loop, in microseconds, before any task runs."""
 
-    def __init__(self, clock: Clock, on_pause: Callable[[int], None]) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self.on_pause: list[Callable[[int], None]] = []
         self._monotonic_s = clock.monotonic_s
-        self._on_pause = on_pause
         self._last_step_s = clock.monotonic_s()
 
     def before_task_step(self, task: trio.lowlevel.Task | None = None) -> None:
@@ -28,4 +28,5 @@
         pause_s = now_s - self._last_step_s
         self._last_step_s = now_s
         if pause_s >= MIN_PAUSE_S:
-            self._on_pause(int(pause_s * 1e6))
+            for callback in self.on_pause:
+                callback(int(pause_s * 1e6))
--- a/rookbend/net/member_pool.py
+++ b/rookbend/net/member_pool.py
@@ -4,7 +4,7 @@
 
 import errno
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -16,7 +16,8 @@
 from rookbend.net.connector import open_socket
 from rookbend.net.member_connection import ConnectionState, MemberConnection, remember
 from rookbend.net.pool_context import PoolContext
-from rookbend.net.unsent_attempts import return_unsent
+from rookbend.net.unconfirmed_cancels import UnconfirmedCancels
+from rookbend.net.unsent_attempts import return_unsent, split_attempts, take_unsent
 from rookbend.protocol import cache_lines
 
 MAX_CONNECTING = 8  # connects in progress to one member
@@ -30,36 +31,20 @@
         self.endpoint = endpoint
         self.connections = ConnectionSet(context)
         self.waiting: deque[Attempt] = deque()
-        self.awaiting_cancel: list[Attempt] = []  # the member may not have read an earlier cancel
+        self.unconfirmed_cancels = UnconfirmedCancels(self.connections, self._finish_if_unused)
         self.retired = False
         self.restart_detector = RestartDetector()
 
     def send(self, attempt: Attempt) -> None:
         """Writes the attempt on a connection that accepts it, or queues it until there is one."""
-        if attempt.number and self._drain_unconfirmed_cancels(attempt.request.request_id):
-            return self.awaiting_cancel.append(attempt)
+        if attempt.number and self.unconfirmed_cancels.must_wait(attempt):
+            return self.unconfirmed_cancels.waiting.append(attempt)
         connection = self.connections.select(attempt)
         if connection is not None:
             return self._write(connection, attempt)
         self.waiting.append(attempt)
         self._connect_as_needed()
 
-    def _drain_unconfirmed_cancels(self, request_id: str) -> bool:
-        """Drains the connections on which this request was cancelled; returns whether there are any.
-
-        While there are, the member may still process the earlier attempt, and a new one would make it process the
-        request twice: a cancel on one connection and a command on another are not ordered, and the command was
-        read first in one case of three. The member's close of the drained connection proves that it has read the
-        cancel.
-        """
-        unconfirmed = False
-        for connection in self.connections:
-            if request_id in connection.cancelled_ids:
-                unconfirmed = True
-                connection.stop_accepting()
-                self._finish_if_unused(connection)
-        return unconfirmed
-
     def _connect_as_needed(self) -> None:
         connections = self.connections
         while len(self.waiting) > connections.connecting < MAX_CONNECTING and connections.may_connect():
@@ -216,17 +201,9 @@
         for attempt, sent in lost:
             status = AttemptStatus.RESET if sent else AttemptStatus.CONNECT_FAILED
             self.context.engine.finished(attempt, AttemptResult(status))
-        self._queue_confirmed()
+        self.waiting += self.unconfirmed_cancels.take_confirmed()
         self.dispatch_waiting()
 
-    def _queue_confirmed(self) -> None:
-        """Queues the attempts whose earlier cancel the member has certainly read."""
-        attempts, self.awaiting_cancel = self.awaiting_cancel, []
-        for attempt in attempts:
-            if not attempt.is_finished:
-                unconfirmed = self._drain_unconfirmed_cancels(attempt.request.request_id)
-                (self.awaiting_cancel if unconfirmed else self.waiting).append(attempt)
-
     def _finish_if_unused(self, connection: MemberConnection) -> None:
         """Closes a connection that takes no new attempts, once nothing is in flight on it."""
         state = connection.state
@@ -241,8 +218,15 @@
     def retire(self) -> None:
         """The member was removed or has a new address: closes each connection once nothing is in flight on it."""
         self.retired = True
+        unsent = self.take_unsent(lambda attempt: True)
+        self.context.nursery.start_soon(return_unsent, self.context.engine, unsent)
+
+    def take_unsent(self, is_taken: Callable[[Attempt], bool]) -> list[Attempt]:
+        """Removes the attempts of which no byte was sent and for which `is_taken` returns true."""
+        taken, kept = split_attempts(self.waiting, is_taken)
+        self.waiting = deque(kept)
+        taken += self.unconfirmed_cancels.take(is_taken)
         for connection in list(self.connections):
+            taken += take_unsent(connection, is_taken)
             self._finish_if_unused(connection)
-        unsent = [*self.waiting, *self.awaiting_cancel]
-        self.waiting, self.awaiting_cancel = deque(), []
-        self.context.nursery.start_soon(return_unsent, self.context.engine, unsent)
+        return taken
--- a/rookbend/net/pool.py
+++ b/rookbend/net/pool.py
@@ -10,6 +10,7 @@
 from rookbend.interface import AttemptStatus
 from rookbend.net.member_connection import MemberConnection
 from rookbend.net.member_pool import MemberPool
+from rookbend.net.unsent_attempts import withhold_all
 from rookbend.net.write_scheduler import WriteScheduler
 
 IDLE_CLOSE_RATIO = 0.8  # of the members' idle timeout, so that the director closes first
@@ -107,6 +108,16 @@
         if member_pool is not None:
             member_pool.retire()
 
+    def withhold_unsent(self) -> None:
+        """See `Backend.withhold_unsent`."""
+        engine = self.engine
+        taken = [
+            attempt
+            for member_pool in self.members.values()
+            for attempt in member_pool.take_unsent(lambda attempt: not engine.may_write(attempt))
+        ]
+        withhold_all(engine, taken)
+
     def close_idle(self, server: int) -> None:
         """See `Backend.close_idle`."""
         if server in self.members:
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -40,7 +40,8 @@
         self.address = address
         self.reported_times = ReportedTimes(engine.clock)
         self.catch_up = CatchUp(engine)
-        self.loop_pause = LoopPauseInstrument(engine.clock, self.loop_paused)
+        self.loop_pause = LoopPauseInstrument(engine.clock)
+        self.loop_pause.on_pause.append(self.loop_paused)
         settings = engine.settings
         self.backoff = ReconnectBackoff(settings.router_index, settings.router_count, seed)
         self.membership_changed: Callable[[MembershipChange], None] = engine.membership_changed
--- a/rookbend/net/write_scheduler.py
+++ b/rookbend/net/write_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import trio
@@ -15,9 +16,13 @@
 
 
 class WriteScheduler:
-    """Sends all sockets written to during a turn of the event loop at its end: one send call for many answers."""
+    """Sends all sockets written to during a turn of the event loop at its end: one send call for many answers.
+
+    `before_send` is called before each send; it may withdraw what is buffered.
+    """
 
     def __init__(self) -> None:
+        self.before_send: Callable[[], None] = lambda: None
         self._pending: list[BufferedWriter] = []
         self._wakeup = trio.Event()
 
@@ -31,6 +36,7 @@
         """Sends the buffered bytes of all scheduled sockets."""
         pending, self._pending = self._pending, []
         for writer in pending:
+            self.before_send()
             writer.send()
 
     async def run(self) -> None:
--- a/rookbend/testing/simulation/node.py
+++ b/rookbend/testing/simulation/node.py
@@ -62,5 +62,8 @@
     def disconnect(self, server: int) -> None:
         pass  # attempts in flight end by themselves
 
+    def withhold_unsent(self) -> None:
+        pass  # an attempt is on the wire as soon as it is sent
+
     def close_idle(self, server: int) -> None:
         pass  # connections are not modelled
--- a/tests/engine_harness.py
+++ b/tests/engine_harness.py
@@ -60,6 +60,9 @@
     def disconnect(self, server):
         pass
 
+    def withhold_unsent(self):
+        pass
+
     def submit_request(self, traffic_class=0, timeout_s=2.0, object_id=5, request_id=None):
         now = self.engine.clock.now()
         return self.engine.submit(
--- a/tests/test_loop_pause.py
+++ b/tests/test_loop_pause.py
@@ -7,9 +7,10 @@
 import trio
 
 from rookbend.core.clock import Clock
+from rookbend.core.model import Request
 from rookbend.net import watch
 from rookbend.net.loop_pause import MIN_PAUSE_S, LoopPauseInstrument
-from tests.director_scenario import run_with_director
+from tests.director_scenario import OBJ, run_with_director
 
 SHORT_PAUSE_US = int(MIN_PAUSE_S * 1e6)
 LONG_PAUSE_US = watch.MAX_UNFOLLOWED_PAUSE_US
@@ -32,9 +33,19 @@
     return next(s for s, endpoint in harness.service.engine.endpoints.items() if endpoint.name == name)
 
 
+def submit(harness, number):
+    """Submits a request as a front does; returns the answers."""
+    answers = []
+    deadline_us = harness.service.clock.now() + 2_000_000
+    request = Request(f"{number:016x}", 0, "video", OBJ, int(OBJ, 16), deadline_us)
+    harness.service.engine.submit(request, answers.append)
+    return answers
+
+
 def test_a_pause_is_reported_before_the_next_task_runs_and_only_once():
     now_s, pauses = [0.0], []
-    instrument = LoopPauseInstrument(Clock(lambda: now_s[0], lambda: 0.0), pauses.append)
+    instrument = LoopPauseInstrument(Clock(lambda: now_s[0], lambda: 0.0))
+    instrument.on_pause.append(pauses.append)
     for step_s in (0.05, 0.0999, 1.5, 0.0, 0.25):
         now_s[0] += step_s
         instrument.before_task_step()
@@ -61,3 +72,18 @@
         await harness.play("director wait 2\nclient send ready? 1\nclient expect ready served 1")
 
     run_with_director(check)
+
+
+@pytest.mark.parametrize("count", [3, 30])
+def test_attempts_in_the_send_buffer_are_withheld_from_a_member_that_drains(count):
+    async def check(harness):
+        await harness.play(CONNECTED)
+        engine = harness.service.engine
+        for number in range(2, 2 + count):
+            submit(harness, number)
+        send_drain(harness, "cache1")
+        harness.service.watch.loop_paused(SHORT_PAUSE_US)
+        await harness.play("upper expect do\ncache1 expect nothing")
+        assert engine.counters.withheld_member_out_of_service >= 1
+
+    run_with_director(check)
