After a pause of the event loop nothing is sent before every readable socket was read

What callers would see: attempts for clients that have closed or cancelled more than 0.1 s before. Cause, of the same class: when a stopped director continues, the times of its attempts are over, and their retries may be sent before the ends of the clients' connections, which wait in the sockets, are read.

--- a/rookbend/assembly.py
+++ b/rookbend/assembly.py
@@ -47,6 +47,7 @@
     translator = Translator(config.settings.zones, config.settings.kinds)
     watch = Watch(engine, translator, coordinator_address(config), int(config.seed, 16))
     write_scheduler.before_send = watch.loop_pause.before_task_step
+    watch.loop_pause.on_pause.append(lambda pause_us: write_scheduler.wait_for_reads())
     return watch
 
 
--- a/rookbend/net/write_scheduler.py
+++ b/rookbend/net/write_scheduler.py
@@ -7,6 +7,8 @@
 
 import trio
 
+TURNS_TO_READ = 2  # the rest of the present turn, and one that begins with a look at all sockets
+
 
 class BufferedWriter(Protocol):
     """Something that buffers bytes until they are sent."""
@@ -18,13 +20,14 @@
 class WriteScheduler:
     """Sends all sockets written to during a turn of the event loop at its end: one send call for many answers.
 
-    `before_send` is called before each send; it may withdraw what is buffered.
+    `before_send` is called before each send; it may withdraw what is buffered, and call `wait_for_reads`.
     """
 
     def __init__(self) -> None:
         self.before_send: Callable[[], None] = lambda: None
         self._pending: list[BufferedWriter] = []
         self._wakeup = trio.Event()
+        self._turns_to_wait = 0
 
     def add(self, writer: BufferedWriter) -> None:
         """Schedules the writer to be sent at the end of this turn."""
@@ -32,11 +35,20 @@
             self._wakeup.set()
         self._pending.append(writer)
 
+    def wait_for_reads(self) -> None:
+        """Sends nothing until every task has run whose socket is readable now: a client may have left, for which an
+        attempt is withdrawn."""
+        self._turns_to_wait = TURNS_TO_READ
+
     def flush(self) -> None:
-        """Sends the buffered bytes of all scheduled sockets."""
+        """Sends the buffered bytes of all scheduled sockets; the rest waits if `wait_for_reads` is called meanwhile."""
         pending, self._pending = self._pending, []
-        for writer in pending:
+        for index, writer in enumerate(pending):
             self.before_send()
+            if self._turns_to_wait:
+                self._pending[:0] = pending[index:]
+                self._wakeup.set()
+                return
             writer.send()
 
     async def run(self) -> None:
@@ -44,4 +56,7 @@
         while True:
             await self._wakeup.wait()
             self._wakeup = trio.Event()
+            while self._turns_to_wait:
+                self._turns_to_wait -= 1
+                await trio.lowlevel.checkpoint()
             self.flush()
--- a/rookbend/testing/invariant_checker.py
+++ b/rookbend/testing/invariant_checker.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
@@ -26,6 +26,7 @@
     ResponseReceived,
     WireEvent,
 )
+from rookbend.testing.observed_request import RequestRecord
 from rookbend.testing.slow_start_budget import SlowStartBudget
 
 
@@ -46,6 +47,8 @@
     # An attempt that is sent more than `purge_grace_us` after its director was notified of a purge never succeeds with
     # a copy that is older than the purge.
     PURGE = "purge"
+    # No attempt is sent more than `left_grace_us` after the client has cancelled the request or closed its connection.
+    LEFT = "left"
     # A served response has the bytes that a member produced for that object and part.
     BYTES = "bytes"
 
@@ -58,6 +61,7 @@
     answer_grace_us: int = 0
     drain_grace_us: int = 500_000
     purge_grace_us: int = 500_000
+    left_grace_us: int = 100_000
     purge_retention_us: int = 12_000_000
     cold_window_us: int = 1_500_000
     slack_us: int = 50_000
@@ -73,19 +77,6 @@
     text: str
 
 
-@dataclass(slots=True)
-class RequestRecord:
-    """An open request and what has been observed of it."""
-
-    request: RequestSent
-    attempts: int = 0
-    in_flight: dict[str, AttemptReceived] = field(default_factory=dict)  # by member
-    may_have_executed: bool = False
-    responses: int = 0
-    client_closed: bool = False
-    first_bytes_us: dict[str, int] = field(default_factory=dict)  # time of the newest attempt's first byte, by member
-
-
 class InvariantChecker:
     """Checks the rules as events arrive."""
 
@@ -120,7 +111,7 @@
         for request_id, record in list(self.requests.items()):
             if record.request.deadline_us + grace_us >= now_us or record.in_flight:
                 continue
-            if not record.responses and not record.client_closed:
+            if not record.responses and record.client_closed_us is None:
                 self._report(Rule.ANSWER, now_us, request_id, "no response")
             del self.requests[request_id]
 
@@ -153,7 +144,7 @@
         if not event.is_whole:
             self._report(Rule.ANSWER, at_us, request_id, "malformed or truncated response")
         due_us = record.request.deadline_us + self.limits.answer_grace_us + self.limits.slack_us
-        if at_us > due_us and not record.client_closed:
+        if at_us > due_us and record.client_closed_us is None:
             self._report(Rule.ANSWER, at_us, request_id, f"response {(at_us - due_us) / 1000:.0f} ms late")
         self._check_verdict(event, record)
 
@@ -167,8 +158,9 @@
                 self._report(Rule.BYTES, event.at_us, event.request_id, "served bytes that no member produced for it")
 
     def _on_client_closed(self, event: ClientClosed) -> None:
-        if event.request_id in self.requests:
-            self.requests[event.request_id].client_closed = True
+        record = self.requests.get(event.request_id)
+        if record is not None and record.client_closed_us is None:
+            record.client_closed_us = event.at_us
 
     # Members
 
@@ -194,8 +186,16 @@
         record.first_bytes_us[member] = event.first_byte_us
         self._check_drain(event, record.request.director, member, "sent to this member")
         self._check_drain(event, record.request.director, event.source, "names this member as its source")
+        self._check_client_is_there(event, record)
         self._check_slow_start(at_us, member, event.work_s)
 
+    def _check_client_is_there(self, event: AttemptReceived, record: RequestRecord) -> None:
+        left_us = record.client_closed_us
+        grace_us = self.limits.left_grace_us + self.limits.slack_us
+        if left_us is not None and event.first_byte_us > left_us + grace_us:
+            delay_ms = (event.first_byte_us - left_us) / 1000
+            self._report(Rule.LEFT, event.at_us, event.request_id, f"sent {delay_ms:.0f} ms after its client has left")
+
     def _check_drain(self, event: AttemptReceived, director: str, member: str, relation: str) -> None:
         notice = self._notifications.out_of_service(director, member)
         grace_us = self.limits.drain_grace_us + self.limits.slack_us
--- a/tests/test_invariant_checker.py
+++ b/tests/test_invariant_checker.py
@@ -121,6 +121,7 @@
                 AttemptAnswered(SECOND, "r", "c1", True),
             ],
         ),
+        ("left", [request(), ClientClosed(0, "r"), failure(at=151 * MS)]),
         (
             "drain",
             [
--- a/tests/test_drain_during_start.py
+++ b/tests/test_unheard_events.py
@@ -1,9 +1,12 @@
-"""Caches begin to drain while a director starts: it sends nothing to them, although the list of its start has them."""
+"""Drains and clients' ends that a director has not heard of yet, during its start or while it is stopped: real processes.
+
+Each run prints how the requests ended.
+"""
 
 import pytest
 import trio
 
-from rookbend.testing.cluster import drain_during_stop
+from rookbend.testing.cluster import drain_during_stop, leave_during_stop
 from rookbend.testing.cluster.drain_during_start import DrainDuringStart, play
 
 SHARE_OF_OTHERS = 0.5  # a restarted director serves at least this much of the share that running ones serve
@@ -25,3 +28,10 @@
     result = trio.run(drain_during_stop.play, drain_during_stop.DrainDuringStop())
     print(result)
     assert not result.violations, result.violations[:3]
+
+
+def test_nothing_is_sent_for_a_client_that_left_while_the_director_was_stopped():
+    # Guards against retries that are sent before the ends of the clients' connections are read.
+    result = trio.run(leave_during_stop.play, leave_during_stop.LeaveDuringStop())
+    print(result)
+    assert not result.violations, result.violations[:3]
