Tests wait until a director has caught up; nothing is logged of an empty list

Directors of tests were taken for ready at the first 'ready' in their log: that is now the event 'ready' and, with a coordinator, the end of the catch-up. test_full_descriptors (discovery is down there) and test_ids_across_an_upgrade asked for readiness at once and got a no; test_cli, test_signals and test_unusable_settings read the first line, which is 'ready' again.

--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -64,7 +64,8 @@
         for update in known.updates:
             self._apply(update)
         self.last_index = max(self.last_index, known.index)
-        self.engine.log("known_events_applied", index=self.last_index, members=len(self.engine.endpoints))
+        if known.updates:
+            self.engine.log("known_events_applied", index=self.last_index, members=len(self.engine.endpoints))
         if self.address is not None:
             self.catch_up.begin()
 
--- a/rookbend/testing/director_process.py
+++ b/rookbend/testing/director_process.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -19,6 +20,9 @@
 from rookbend.testing.process_memory import read_memory
 
 _READY_POLL_S = 0.005
+_LOGGED_EVENT = re.compile(rb'event(?:=|": ?")(\w+)')  # in either format of the log
+_CATCH_UP_BEGAN = b"known_events_applied"  # earlier versions don't catch up
+_CATCH_UP_ENDED = {b"caught_up", b"catch_up_incomplete"}
 
 
 class DirectorProcess:
@@ -37,6 +41,7 @@
         self.python = python
         self.log = folder / "log"
         self.process: subprocess.Popen[bytes] | None = None
+        self._has_coordinator = bool(config.get("coordinator"))
         (folder / "config.json").write_text(json.dumps(config))
         (folder / "rookbend.conf").write_text(operators)
 
@@ -55,12 +60,18 @@
         with open(self.log, "wb") as log:
             process = subprocess.Popen(command, cwd=self.checkout, env=environ, stderr=log)
         self.process = process
-        while b"ready" not in self.log.read_bytes():
+        while not self._is_ready():
             if process.poll() is not None:
                 raise RuntimeError(self.log.read_text())
             time.sleep(_READY_POLL_S)
         return time.monotonic() - started_s
 
+    def _is_ready(self) -> bool:
+        """Whether the log tells that the director listens, and holds no requests that wait for the coordinator."""
+        events = set(_LOGGED_EVENT.findall(self.log.read_bytes()))
+        is_catching_up = self._has_coordinator and _CATCH_UP_BEGAN in events and not events & _CATCH_UP_ENDED
+        return b"ready" in events and not is_catching_up
+
     def resident_kb(self) -> int:
         """Returns the resident memory in KiB. Raises RuntimeError if the process has ended."""
         memory = read_memory(self._started_process.pid)
