The soak drains caches, also while a director starts or is stopped

Its record counts a drain as told at once to a director that has its list and no stream yet, as the protocol page does. Stopped directors lose their clients at that moment, since they can't answer in time.

--- a/rookbend/testing/cluster/coordinator.py
+++ b/rookbend/testing/cluster/coordinator.py
@@ -33,6 +33,9 @@
         self.answer_delay_s = 0.0  # from a call until its answer begins
         # Whether an event counts as told to all directors once it is here, rather than once it was written to each.
         self.tells_at_once = False
+        # Directors to which it does so in any case: those that have a list in their configuration and no stream yet.
+        self.tells_starting_at_once = False
+        self._starting: set[str] = set()
         self.calls: dict[str, int] = {}
         self.last_sent_index: dict[str, int] = {}  # by director: the last event sent on its stream
         self._changed = trio.Event()
@@ -48,9 +51,8 @@
     def _add(self, event: dict) -> None:
         self.index += 1
         self.events.append((self.index, event))
-        if self.tells_at_once:
-            for director in self.last_sent_index:
-                self.record_delivery(director, event)
+        for director in self.last_sent_index if self.tells_at_once else self._starting:
+            self.record_delivery(director, event)
         self._changed.set()
         self._changed = trio.Event()
 
@@ -102,6 +104,8 @@
         complete_list = {"endpoints": {"revision": self.revision, "complete": True, "members": entries}}
         recent = [event for at, event in self.purges if at > now_us() - purge_life_us]
         self.last_sent_index[director] = self.index
+        if self.tells_starting_at_once:
+            self._starting.add(director)
         self.record_delivery(director, complete_list)
         for event in recent:
             self.record_delivery(director, event)
@@ -150,6 +154,7 @@
             )
             await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n")
             self._streams[director] = stream
+            self._starting.discard(director)
             if not last:
                 # For a director without an earlier event, the first event is the complete list.
                 entries = [self._member_entry(b) for b in self.shared.members.values()]
--- a/rookbend/testing/cluster/soak.py
+++ b/rookbend/testing/cluster/soak.py
@@ -1,5 +1,6 @@
 """A seeded soak test: a cluster under load while directors restart, reload and are upgraded, members restart, the
 coordinator falls silent, wall clocks are stepped and socket calls fail. Every third seed has a crowd (soak_crowds.py).
+Caches drain, also while a director starts or is stopped (soak_drains.py).
 
 The seed determines the events and their times. The test checks invariants, contained faults, exit codes, memory, the
 time to readiness, and each lost request. The platform's page allows a director to lose requests that arrive more than
@@ -20,6 +21,7 @@
 from rookbend.testing.cluster.process_cluster import ProcessCluster
 from rookbend.testing.cluster.record import now_us
 from rookbend.testing.cluster.soak_crowds import MEMORY_LIMIT_MB, SoakCrowds, is_of_unrecorded_client
+from rookbend.testing.cluster.soak_drains import SoakDrains
 from rookbend.testing.cluster.soak_result import SoakResult
 from rookbend.testing.cluster.traffic_classes import TRAFFIC_CLASSES
 from rookbend.testing.cluster.workload import LostRequest
@@ -45,6 +47,7 @@
         self.seconds = seconds
         self.random = random.Random(f"{seed} soak")
         self.crowds = SoakCrowds(cluster, self.random, seconds, seed)
+        self.drains = SoakDrains(cluster, self.random, self._restart)
         self.result = SoakResult(seed, crowd=self.crowds.kind)
         self.stopped_us: dict[str, list[int]] = {name: [] for name in cluster.names}  # SIGTERM
         self._events: list[Callable[[str], Awaitable[None]]] = [
@@ -60,6 +63,9 @@
             self._silent_coordinator,
             self._clock_step,
             self._failing_calls,
+            self.drains.drain,
+            self.drains.drain_during_restart,
+            self.drains.drain_while_stopped,
         ]
 
     async def run(self) -> SoakResult:
@@ -198,7 +204,7 @@
     # Evaluation
 
     def _may_be_lost(self, request: LostRequest) -> bool:
-        if request.lost_us - request.sent_us <= CLOSE_RACE_US:
+        if request.lost_us - request.sent_us <= CLOSE_RACE_US or self.drains.ended_at_stop(request):
             return True
         # At the end of its grace period a director closes the connections without an open request.
         return any(
