What waited during a pause of the event loop is passed on with the time its client has left

What callers would see: members are given up to the length of a stop more time than the client has left: 'a deadline passed on that exceeds what the client has left by over 0.15 s is lost'. Cause, of the same class: after a pause, requests that had waited unread in their sockets counted from their reading, and commands in a send buffer told the time left before it. The measured lag of the loop covers this only if the task that measures it happens to run first. Change: at a pause, clients with unread bytes are noted; their requests count from its begin, the last on a connection from the age that the kernel tells. Connections accepted next count as in backlog_wait. Buffered attempts are written again. The loop pause is also looked for before each request's deadline is computed. A request whose age isn't known counts as old as the pause, so some with time left are refused.

--- a/rookbend/assembly.py
+++ b/rookbend/assembly.py
@@ -12,6 +12,7 @@
 from rookbend.core.clock import Clock
 from rookbend.core.counters import Counters
 from rookbend.core.engine import Engine
+from rookbend.net.client_listener import ClientListener
 from rookbend.net.component import Component, ComponentContext
 from rookbend.net.peers import PeerSocket
 from rookbend.net.pool import Pool
@@ -42,12 +43,20 @@
     return Engine(settings, router, clock, counters, log)
 
 
-def build_watch(config: Config, engine: Engine, write_scheduler: WriteScheduler) -> Watch:
-    """Builds the watch, which follows the coordinator's stream, and looks for pauses of the loop before each send."""
+def build_watch(
+    config: Config, engine: Engine, write_scheduler: WriteScheduler, client_listener: ClientListener
+) -> Watch:
+    """Builds the watch, which follows the coordinator's event stream, and connects what takes note of loop pauses."""
     translator = Translator(config.settings.zones, config.settings.kinds)
     watch = Watch(engine, translator, coordinator_address(config), int(config.seed, 16))
+    # A process may be stopped in the middle of a task's step too.
     write_scheduler.before_send = watch.loop_pause.before_task_step
-    watch.loop_pause.on_pause.append(lambda pause_us: write_scheduler.wait_for_reads())
+    client_listener.front.before_request = watch.loop_pause.before_task_step
+    watch.loop_pause.on_pause += [
+        client_listener.loop_paused,
+        lambda pause_us: write_scheduler.wait_for_reads(),
+        lambda pause_us: engine.backend.rewrite_unsent(),
+    ]
     return watch
 
 
--- a/rookbend/core/ports.py
+++ b/rookbend/core/ports.py
@@ -40,6 +40,9 @@
     def withhold_unsent(self) -> None:
         """Ends the attempts of which nothing was sent yet, and that may not be written any more."""
 
+    def rewrite_unsent(self) -> None:
+        """Writes the attempts of which nothing was sent yet again, with the time that they have left now."""
+
     def close_idle(self, server: int) -> None:
         """Closes the connections to a member that carry no attempt."""
 
--- a/rookbend/fronts/platform.py
+++ b/rookbend/fronts/platform.py
@@ -44,6 +44,7 @@
         is_closing: Callable[[], bool],
         input_budget: InputBudget,
     ) -> None:
+        self.before_request: Callable[[], None] = lambda: None  # called before a request's deadline is computed
         self.engine = engine
         self.input_budget = input_budget
         self.is_ready = is_ready
@@ -64,7 +65,8 @@
         self.has_unread_answers = False  # answers wait in memory until the client reads
         self.paused = False  # very many do: the client's requests are queued, its cancels are not
         self.activity = ConnectionActivity(INACTIVITY_LIMITS, now_us - waited_us)
-        self._waited_us = waited_us  # by the bytes that are read now
+        self._waited_us = waited_us  # by the bytes that are read now, at most
+        self._last_waited_us = waited_us  # by the last of them
         self.received_frames = 0
         self.has_more_frames = False  # received, but not processed yet
         self._client_closed = False  # the client has closed its side: new requests are rejected
@@ -114,7 +116,8 @@
                     is_valid = False
                     self.requests.cancel(frame.stream)  # else the answers would be indistinguishable
                     break
-                self._handle_request(frame)
+                is_last = frame is received[-1] and not (self.has_more_frames or self.parser.has_partial)
+                self._handle_request(frame, is_last)
             elif isinstance(frame, frames.CancelFrame):
                 self.requests.cancel(frame.stream)
             else:
@@ -125,9 +128,14 @@
             self.reject_connection()
         return is_valid
 
+    def note_wait(self, waited_us: int, last_waited_us: int) -> None:
+        """The bytes that can be read now have waited for up to `waited_us`, the last of them for `last_waited_us`."""
+        self._waited_us = max(self._waited_us, waited_us)
+        self._last_waited_us = max(self._last_waited_us, last_waited_us)
+
     def all_read(self) -> None:
         """Handles that nothing more can be read now: what arrives from now on has not waited."""
-        self._waited_us = 0
+        self._waited_us = self._last_waited_us = 0
 
     def refuse_unfinished(self) -> None:
         """See `UnfinishedRequest`: the request is refused, and the rest of it is discarded as it arrives."""
@@ -143,13 +151,14 @@
         self.front.engine.counters.malformed += 1
         self.write(frames.write_answer(0, frames.STATUS_FAILED))
 
-    def _handle_request(self, frame: frames.RequestFrame) -> None:
+    def _handle_request(self, frame: frames.RequestFrame, is_last: bool) -> None:
         stream, engine = frame.stream, self.front.engine
         reason = self._refusal_reason()
         if reason is not None:
             return self._refuse(frame, reason)
+        self.front.before_request()
         try:
-            request = read_request(engine, frame, self._waited_us)
+            request = read_request(engine, frame, self._last_waited_us if is_last else self._waited_us)
         except (KeyError, ValueError):
             engine.counters.malformed += 1
             self._count_outcome(frame, FinalOutcome.FAILED)
--- a/rookbend/net/backlog_wait.py
+++ b/rookbend/net/backlog_wait.py
@@ -25,6 +25,11 @@
         self._held_since_us = self._held_since_us or now_us
         self._held_until_us = now_us
 
+    def loop_paused(self, pause_us: int, now_us: int) -> None:
+        """Nothing was accepted for this long."""
+        self._held_since_us = self._held_since_us or now_us - pause_us
+        self._held_until_us = now_us
+
     def waited_us(self, sock: socket.socket, now_us: int) -> int:
         """For how long a connection that is accepted now has waited, or the last byte on it."""
         if not self._held_since_us:
--- a/rookbend/net/client_connection.py
+++ b/rookbend/net/client_connection.py
@@ -19,6 +19,7 @@
 from rookbend.fronts.platform import PlatformFront, PlatformSession
 from rookbend.net.buffered_socket import BufferedSocket, set_socket_options
 from rookbend.net.client_input import ClientInput
+from rookbend.net.connection_age import quiet_us
 from rookbend.net.delivery import DeliveryMonitor
 from rookbend.net.drop_reason import DropReason
 from rookbend.net.lingering_close import LINGER_LIMIT_US, LingeringClose, close_without_reset
@@ -156,6 +157,13 @@
             self.session.all_read()
         return True
 
+    def loop_paused(self, pause_us: int) -> None:
+        """The event loop stood still: what can be read now may have waited for that long."""
+        if self._input.is_processing:
+            self.session.note_wait(pause_us, pause_us)  # what is processed now was read before the pause
+        elif self.socket.peek():
+            self.session.note_wait(pause_us, min(pause_us, quiet_us(self.socket.sock)))
+
     def _is_open(self) -> bool:
         return self.phase is ClientPhase.OPEN
 
--- a/rookbend/net/client_listener.py
+++ b/rookbend/net/client_listener.py
@@ -58,6 +58,12 @@
             await accept(listener, accepting, lambda sock: self._accepted(sock, nursery), self._has_capacity)
             self.accepted_all.set()
 
+    def loop_paused(self, pause_us: int) -> None:
+        """The event loop stood still: connections and requests that have arrived may have waited for that long."""
+        self._backlog_wait.loop_paused(pause_us, self.front.engine.clock.now())
+        for client in self.open:
+            client.loop_paused(pause_us)
+
     def _accepted(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         self.counters.clients += 1
         waited_us = self._backlog_wait.waited_us(sock, self.front.engine.clock.now())
--- a/rookbend/net/member_pool.py
+++ b/rookbend/net/member_pool.py
@@ -230,3 +230,9 @@
             taken += take_unsent(connection, is_taken)
             self._finish_if_unused(connection)
         return taken
+
+    def rewrite_unsent(self) -> None:
+        """Dispatches the attempts in the connections' buffers again: a command tells how long its answer is awaited."""
+        for connection in list(self.connections):
+            self.waiting.extendleft(take_unsent(connection, lambda attempt: True))
+        self.dispatch_waiting()
--- a/rookbend/net/pool.py
+++ b/rookbend/net/pool.py
@@ -118,6 +118,11 @@
         ]
         withhold_all(engine, taken)
 
+    def rewrite_unsent(self) -> None:
+        """See `Backend.rewrite_unsent`."""
+        for member_pool in list(self.members.values()):
+            member_pool.rewrite_unsent()
+
     def close_idle(self, server: int) -> None:
         """See `Backend.close_idle`."""
         if server in self.members:
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -76,7 +76,6 @@
         self.resident_at_start = resident_bytes()
         self.input_budget = InputBudget(self.budget.max_input_bytes(self.resident_at_start))
         self.engine = build_engine(self.config, self.clock, self.counters, self.log)
-        self.watch = build_watch(self.config, self.engine, self.write_scheduler)
         self.client_listener = ClientListener(
             PlatformFront(self.engine, self.is_ready, self.is_closed, self.input_budget),
             self.budget.max_clients,
@@ -84,6 +83,7 @@
             self.counters,
             self.write_scheduler,
         )
+        self.watch = build_watch(self.config, self.engine, self.write_scheduler, self.client_listener)
         self.metrics = ProcessMetrics(self.engine, self.client_listener, self.budget, self.operators.headroom.lag_us)
         self.resource_monitor = ResourceMonitor(self.engine, self.client_listener, self.budget, self.metrics)
 
--- a/rookbend/testing/cluster/drain_during_start.py
+++ b/rookbend/testing/cluster/drain_during_start.py
@@ -15,7 +15,7 @@
 from rookbend.testing.cluster.process_cluster import ProcessCluster
 from rookbend.testing.cluster.record import now_us
 from rookbend.testing.cluster.request_outcomes import RequestOutcomes, count_outcomes
-from rookbend.testing.invariant_checker import Violation
+from rookbend.testing.invariant_rules import Violation
 
 
 @dataclass(frozen=True)
--- a/rookbend/testing/cluster/drain_during_stop.py
+++ b/rookbend/testing/cluster/drain_during_stop.py
@@ -14,7 +14,9 @@
 from rookbend.testing.cluster.process_cluster import ProcessCluster
 from rookbend.testing.cluster.record import now_us
 from rookbend.testing.cluster.request_outcomes import RequestOutcomes, count_outcomes
-from rookbend.testing.invariant_checker import Rule, Violation
+from rookbend.testing.invariant_rules import Rule, Violation
+
+RULES = Rule.DRAIN, Rule.DEADLINE  # a stopped process can't answer in time, but it must not send on what is over
 
 
 @dataclass(frozen=True)
@@ -31,7 +33,7 @@
 
 @dataclass(frozen=True)
 class DrainDuringStopResult:
-    """The violations of the rule on drains (a stopped process can't keep deadlines), and all requests' outcomes."""
+    """The violations of `RULES`, and all requests' outcomes."""
 
     violations: list[Violation]
     outcomes: RequestOutcomes
@@ -51,7 +53,7 @@
             await _play_round(cluster, scenario, number % 2)
         cluster.front.running.cancel()
         await cluster.wait_until(lambda: not cluster.front.open_requests, "all requests are answered")
-        violations = [found for found in cluster.record.find_violations() if found.rule is Rule.DRAIN]
+        violations = [found for found in cluster.record.find_violations() if found.rule in RULES]
         requests = [request for request in cluster.front.requests if request.arrival_us >= began_us]
         return DrainDuringStopResult(violations, count_outcomes(requests))
 
--- a/rookbend/testing/cluster/leave_during_stop.py
+++ b/rookbend/testing/cluster/leave_during_stop.py
@@ -14,7 +14,7 @@
 from rookbend.testing.cluster.cluster_runner import open_cluster
 from rookbend.testing.cluster.process_cluster import ProcessCluster
 from rookbend.testing.cluster.request_outcomes import RequestOutcomes, count_outcomes
-from rookbend.testing.invariant_checker import Rule, Violation
+from rookbend.testing.invariant_rules import Rule, Violation
 
 
 @dataclass(frozen=True)
--- a/rookbend/testing/cluster/member_wire.py
+++ b/rookbend/testing/cluster/member_wire.py
@@ -73,10 +73,10 @@
         source = self.shared.members.get(fields.get("next", ""))
         write = fields["c"] in WRITES
         self.request_count += 1
+        work_s = self.work_seconds(key, part)
+        wait_us = int(fields.get("w", 0)) * 1000
         self.record.feed(
-            AttemptReceived(
-                now_us(), rid, self.name, first_byte_us, fields.get("next", ""), self.work_seconds(key, part)
-            )
+            AttemptReceived(now_us(), rid, self.name, first_byte_us, fields.get("next", ""), work_s, wait_us)
         )
         group = group_of(key)
         try:
--- a/rookbend/testing/cluster/process_cluster.py
+++ b/rookbend/testing/cluster/process_cluster.py
@@ -37,7 +37,7 @@
 from rookbend.testing.cluster.shared_state import CACHE, ORIGIN, PARENT, MemberProfile, SharedState
 from rookbend.testing.cluster.upgrades import Upgrades
 from rookbend.testing.director_process import find_free_port
-from rookbend.testing.invariant_checker import InvariantLimits
+from rookbend.testing.invariant_rules import InvariantLimits
 from rookbend.testing.weighted_score import earned_weight
 
 
--- a/rookbend/testing/cluster/record.py
+++ b/rookbend/testing/cluster/record.py
@@ -9,8 +9,9 @@
 import time
 from collections import Counter, deque
 
-from rookbend.testing.invariant_checker import InvariantChecker, InvariantLimits, Violation
+from rookbend.testing.invariant_checker import InvariantChecker
 from rookbend.testing.invariant_events import WireEvent
+from rookbend.testing.invariant_rules import InvariantLimits, Violation
 
 MAX_ROWS = 200_000
 
--- a/rookbend/testing/cluster/soak_crowds.py
+++ b/rookbend/testing/cluster/soak_crowds.py
@@ -10,7 +10,7 @@
 from rookbend.protocol.coordinator_stream import split_address
 from rookbend.testing.cluster.process_cluster import ProcessCluster
 from rookbend.testing.hostile_clients import CROWDS, FLOODS, HOSTILE_ID_PREFIX
-from rookbend.testing.invariant_checker import Rule, Violation
+from rookbend.testing.invariant_rules import Rule, Violation
 from rookbend.testing.process_memory import read_memory
 
 IDLE_CONNECTIONS = 150  # idle connections to one director
--- a/rookbend/testing/cluster/soak_drains.py
+++ b/rookbend/testing/cluster/soak_drains.py
@@ -12,6 +12,7 @@
 from rookbend.testing.cluster.workload import LostRequest
 
 LONGEST_START_S = 1.0  # within which the drain begins
+LONGEST_ANSWER_DELAY_S = 1.5  # of the coordinator, while a director starts
 SHORTEST_STOP_S, LONGEST_STOP_S = 0.6, 3.0  # more than the grace of a drain; the stream of the coordinator may end
 
 
@@ -35,9 +36,11 @@
         self._set_draining(member, False)
 
     async def drain_during_restart(self, name: str) -> None:
-        """A director restarts, and a cache drains after the list of its start was made."""
+        """A director restarts, a cache drains after the list of its start was made, and the coordinator is slow."""
         member = self.random.choice(self.cluster.caches).name
         starts = self.cluster.nodes[name].start_count
+        coordinator = self.cluster.coordinator
+        coordinator.answer_delay_s = self.random.uniform(0, LONGEST_ANSWER_DELAY_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._restart, name)
             await self.cluster.wait_until(
@@ -45,6 +48,7 @@
             )
             await trio.sleep(self.random.uniform(0, LONGEST_START_S))
             self._set_draining(member, True)
+        coordinator.answer_delay_s = 0.0
         await trio.sleep(self.random.uniform(0.5, 2.0))
         self._set_draining(member, False)
 
--- a/rookbend/testing/invariant_events.py
+++ b/rookbend/testing/invariant_events.py
@@ -60,7 +60,10 @@
 
 @dataclass(slots=True)
 class AttemptReceived:
-    """A member has received a complete attempt; `work_s` is the mean transfer time of its class, in seconds."""
+    """A member has received a complete attempt; `work_s` is the mean transfer time of its class, in seconds.
+
+    `wait_us` is how long the director will wait for the answer, as the attempt says; 0 if it does not.
+    """
 
     at_us: int
     request_id: str
@@ -68,6 +71,7 @@
     first_byte_us: int
     source: str = ""
     work_s: float = 0.0
+    wait_us: int = 0
 
 
 @dataclass(slots=True)
--- a/rookbend/testing/simulation/node.py
+++ b/rookbend/testing/simulation/node.py
@@ -65,5 +65,8 @@
     def withhold_unsent(self) -> None:
         pass  # an attempt is on the wire as soon as it is sent
 
+    def rewrite_unsent(self) -> None:
+        pass  # an attempt is on the wire as soon as it is sent
+
     def close_idle(self, server: int) -> None:
         pass  # connections are not modelled
--- a/tests/test_loop_pause.py
+++ b/tests/test_loop_pause.py
@@ -10,6 +10,7 @@
 from rookbend.core.model import Request
 from rookbend.net import watch
 from rookbend.net.loop_pause import MIN_PAUSE_S, LoopPauseInstrument
+from rookbend.testing.open_loop_client import REQUEST_FRAME, encode_frame
 from tests.director_scenario import OBJ, run_with_director
 
 SHORT_PAUSE_US = int(MIN_PAUSE_S * 1e6)
@@ -87,3 +88,39 @@
         assert engine.counters.withheld_member_out_of_service >= 1
 
     run_with_director(check)
+
+
+@pytest.mark.parametrize("count", [1, 10])
+def test_a_request_that_waited_in_its_socket_during_a_pause_is_passed_on_with_the_time_it_has_left(count):
+    # Guards against deadlines that count from the reading of a request that arrived long before.
+    async def check(harness):
+        await harness.play(CONNECTED)
+        client = harness.actors["client"]
+        for number in range(2, 2 + count):
+            fields = {"method": "video", "obj": OBJ, "budget": "3000", "rid": f"{number:016x}", "chunk": str(number)}
+            os.write(client.streams[-1].socket.fileno(), encode_frame(REQUEST_FRAME, number, fields))
+        harness.service.client_listener.loop_paused(LONG_PAUSE_US)
+        given_ms = []
+        for _ in range(count):
+            (wait,) = (w for w in await harness.actors["cache1"].observed.receive() if w.startswith("w="))
+            given_ms.append(int(wait.removeprefix("w=")))
+        assert max(given_ms[:-1], default=0) <= 3000 - LONG_PAUSE_US / 1000
+        assert given_ms[-1] <= 3000  # its own age is known: it has just arrived
+
+    run_with_director(check)
+
+
+def test_an_attempt_in_the_send_buffer_is_written_again_after_a_pause():
+    # Guards against a command that tells a member of time that has passed since it was buffered.
+    async def check(harness):
+        await harness.play(CONNECTED)
+        submit(harness, 2)
+        pool = harness.service.pool
+        (pending,) = (p for m in pool.members.values() for c in m.connections for p in c.in_flight.values())
+        attempt = pending.attempt
+        attempt.due_us -= 1_000_000  # as if a second had passed
+        pool.rewrite_unsent()
+        (wait,) = (w for w in await harness.actors["cache1"].observed.receive() if w.startswith("w="))
+        assert int(wait.removeprefix("w=")) <= 1000
+
+    run_with_director(check)
