After a pause of the event loop timers run once readable sockets were read

What callers would see: failures of requests whose answer had arrived. Cause, of the same class: when a stopped director continues, the time-outs of its attempts are due, and may run before the answers that wait in the sockets are read.

--- a/rookbend/assembly.py
+++ b/rookbend/assembly.py
@@ -18,6 +18,7 @@
 from rookbend.net.pool import Pool
 from rookbend.net.watch import Watch
 from rookbend.net.write_scheduler import WriteScheduler
+from rookbend.process_metrics import ProcessMetrics
 from rookbend.protocol.coordinator_stream import Translator, split_address
 from rookbend.reload import coordinator_address
 from rookbend.resource_budget import ResourceBudget
@@ -44,7 +45,11 @@
 
 
 def build_watch(
-    config: Config, engine: Engine, write_scheduler: WriteScheduler, client_listener: ClientListener
+    config: Config,
+    engine: Engine,
+    write_scheduler: WriteScheduler,
+    client_listener: ClientListener,
+    metrics: ProcessMetrics,
 ) -> Watch:
     """Builds the watch, which follows the coordinator's event stream, and connects what takes note of loop pauses."""
     translator = Translator(config.settings.zones, config.settings.kinds)
@@ -54,6 +59,7 @@
     client_listener.front.before_request = watch.loop_pause.before_task_step
     watch.loop_pause.on_pause += [
         client_listener.loop_paused,
+        metrics.loop_paused,
         lambda pause_us: write_scheduler.wait_for_reads(),
         lambda pause_us: engine.backend.rewrite_unsent(),
     ]
--- a/rookbend/net/loop_pause.py
+++ b/rookbend/net/loop_pause.py
@@ -11,9 +11,16 @@
 
 from rookbend.core.clock import Clock
 
+TURNS_TO_READ = 2  # the rest of the present turn, and one that begins with a look at all sockets
 MIN_PAUSE_S = 0.1  # a loop that is idle wakes more often, see `ProcessMetrics.measure_lag`
 
 
+async def let_readers_run() -> None:
+    """Returns once every task has run whose socket was readable at the call."""
+    for _ in range(TURNS_TO_READ):
+        await trio.lowlevel.checkpoint()
+
+
 class LoopPauseInstrument(trio.abc.Instrument):
     """Calls each of `on_pause` with the length of a pause of the loop, in microseconds, before any task runs."""
 
--- a/rookbend/net/write_scheduler.py
+++ b/rookbend/net/write_scheduler.py
@@ -7,7 +7,7 @@
 
 import trio
 
-TURNS_TO_READ = 2  # the rest of the present turn, and one that begins with a look at all sockets
+from rookbend.net.loop_pause import let_readers_run
 
 
 class BufferedWriter(Protocol):
@@ -27,7 +27,7 @@
         self.before_send: Callable[[], None] = lambda: None
         self._pending: list[BufferedWriter] = []
         self._wakeup = trio.Event()
-        self._turns_to_wait = 0
+        self._must_wait = False
 
     def add(self, writer: BufferedWriter) -> None:
         """Schedules the writer to be sent at the end of this turn."""
@@ -38,14 +38,14 @@
     def wait_for_reads(self) -> None:
         """Sends nothing until every task has run whose socket is readable now: a client may have left, for which an
         attempt is withdrawn."""
-        self._turns_to_wait = TURNS_TO_READ
+        self._must_wait = True
 
     def flush(self) -> None:
         """Sends the buffered bytes of all scheduled sockets; the rest waits if `wait_for_reads` is called meanwhile."""
         pending, self._pending = self._pending, []
         for index, writer in enumerate(pending):
             self.before_send()
-            if self._turns_to_wait:
+            if self._must_wait:
                 self._pending[:0] = pending[index:]
                 self._wakeup.set()
                 return
@@ -56,7 +56,7 @@
         while True:
             await self._wakeup.wait()
             self._wakeup = trio.Event()
-            while self._turns_to_wait:
-                self._turns_to_wait -= 1
-                await trio.lowlevel.checkpoint()
+            while self._must_wait:
+                self._must_wait = False
+                await let_readers_run()
             self.flush()
--- a/rookbend/process_metrics.py
+++ b/rookbend/process_metrics.py
@@ -10,6 +10,7 @@
 from rookbend.core.engine import Engine
 from rookbend.core.model import Endpoint
 from rookbend.net.client_listener import ClientListener
+from rookbend.net.loop_pause import let_readers_run
 from rookbend.net.pool import Pool
 from rookbend.resource_budget import OWN_DESCRIPTORS, ResourceBudget
 
@@ -37,17 +38,25 @@
         self.full_lag_us = full_lag_us
         self.pool: Pool | None = None
         self.max_lag_us = 0  # since `take_max_lag_us`
+        self._has_paused = False  # the event loop, since timers were run
         self._timer_due_earlier = trio.Event()
         engine.timers.on_earlier_due = self._wake_timers
 
     def _wake_timers(self, due_us: int) -> None:
         self._timer_due_earlier.set()
 
+    def loop_paused(self, pause_us: int) -> None:
+        """The event loop stood still: answers that have arrived are read before their time-outs are run."""
+        self._has_paused = True
+
     async def run_timers(self) -> None:
         """Runs the engine's timers when they are due."""
         engine = self.engine
         clock = engine.clock
         while True:
+            if self._has_paused:
+                self._has_paused = False
+                await let_readers_run()
             due_us = engine.run_due()
             self._timer_due_earlier = trio.Event()
             if due_us:
--- a/rookbend/service.py
+++ b/rookbend/service.py
@@ -83,8 +83,8 @@
             self.counters,
             self.write_scheduler,
         )
-        self.watch = build_watch(self.config, self.engine, self.write_scheduler, self.client_listener)
         self.metrics = ProcessMetrics(self.engine, self.client_listener, self.budget, self.operators.headroom.lag_us)
+        self.watch = build_watch(self.config, self.engine, self.write_scheduler, self.client_listener, self.metrics)
         self.resource_monitor = ResourceMonitor(self.engine, self.client_listener, self.budget, self.metrics)
 
     def _build_components(self) -> None:
--- a/tests/test_loop_pause.py
+++ b/tests/test_loop_pause.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from rookbend.core.clock import Clock
 from rookbend.core.model import Request
@@ -124,3 +125,26 @@
         assert int(wait.removeprefix("w=")) <= 1000
 
     run_with_director(check)
+
+
+def test_after_a_pause_timers_run_once_readable_sockets_were_read():
+    # Guards against time-outs that cancel attempts whose answers wait in the sockets.
+    async def check(harness):
+        service, order = harness.service, []
+        service.engine.run_due = lambda: order.append("timers") or 0
+        near, far = trio.socket.socketpair()
+        far.close()
+
+        async def read():
+            await trio.lowlevel.wait_readable(near)
+            order.append("read")
+
+        service.metrics.loop_paused(SHORT_PAUSE_US)
+        service.engine.timers.on_earlier_due(0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+        await trio.testing.wait_all_tasks_blocked()
+        near.close()
+        assert order == ["read", "timers"]
+
+    run_with_director(check)
