--- a/benchmarks/unheard_events.py
+++ b/benchmarks/unheard_events.py
@@ -1,5 +1,5 @@
 """Events that a director has not heard of yet: drains during its start (testing/cluster/drain_during_start.py), drains
-while it is stopped (drain_during_stop.py), and clients that leave while it is stopped (leave_during_stop.py).
+while it is stopped, and clients that leave while it is stopped (stop_scenarios.py).
 
     python -m benchmarks.unheard_events [--scenario start|stop|leave] [--seeds N] [--first SEED] [--size N] [...]
 
@@ -16,7 +16,7 @@
 import trio
 
 from benchmarks.measure import figures, machine
-from rookbend.testing.cluster import drain_during_start, drain_during_stop, leave_during_stop
+from rookbend.testing.cluster import drain_during_start, stop_scenarios
 
 
 def start_scenario(seed: int, args: argparse.Namespace) -> drain_during_start.DrainDuringStart:
@@ -37,31 +37,23 @@
     )
 
 
-def stop_scenario(seed: int, args: argparse.Namespace) -> drain_during_stop.DrainDuringStop:
-    """The scenario of the stop for one seed."""
+def stop_scenario(seed: int, args: argparse.Namespace) -> stop_scenarios.StopScenario:
+    """The scenario of a stop for one seed."""
     size = args.size
-    return drain_during_stop.DrainDuringStop(
+    return stop_scenarios.StopScenario(
         seed, directors=size, caches=4 * size, rounds=args.rounds, rate=args.rate * size, stopped_s=args.stopped
     )
 
 
-def leave_scenario(seed: int, args: argparse.Namespace) -> leave_during_stop.LeaveDuringStop:
-    """The scenario of the clients that leave for one seed."""
-    size = args.size
-    return leave_during_stop.LeaveDuringStop(
-        seed, directors=size, caches=4 * size, rounds=args.rounds, rate=args.rate * size
-    )
-
-
 def violations(args: argparse.Namespace) -> Iterator[int]:
     """Runs each seed, prints its result, and yields the number of its violations."""
     for seed in range(args.first, args.first + args.seeds):
         if args.scenario == "start":
             result = trio.run(drain_during_start.play, start_scenario(seed, args))
         elif args.scenario == "stop":
-            result = trio.run(drain_during_stop.play, stop_scenario(seed, args))
+            result = trio.run(stop_scenarios.drain_during_stop, stop_scenario(seed, args))
         else:
-            result = trio.run(leave_during_stop.play, leave_scenario(seed, args))
+            result = trio.run(stop_scenarios.leave_during_stop, stop_scenario(seed, args))
         print(f"seed {seed}: {result}", flush=True)
         for violation in result.violations[: args.shown]:
             print(f"  {violation.rule}: {violation.subject} {violation.text}")
--- a/tests/test_unheard_events.py
+++ b/tests/test_unheard_events.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from rookbend.testing.cluster import drain_during_stop, leave_during_stop
+from rookbend.testing.cluster import stop_scenarios
 from rookbend.testing.cluster.drain_during_start import DrainDuringStart, play
 
 SHARE_OF_OTHERS = 0.5  # a restarted director serves at least this much of the share that running ones serve
@@ -25,13 +25,13 @@
 
 def test_a_director_that_was_stopped_sends_to_no_cache_that_drained_meanwhile():
     # Guards against requests that are sent on before the coordinator's events that arrived earlier are read (issue 60).
-    result = trio.run(drain_during_stop.play, drain_during_stop.DrainDuringStop())
+    result = trio.run(stop_scenarios.drain_during_stop, stop_scenarios.StopScenario())
     print(result)
     assert not result.violations, result.violations[:3]
 
 
 def test_nothing_is_sent_for_a_client_that_left_while_the_director_was_stopped():
     # Guards against retries that are sent before the ends of the clients' connections are read.
-    result = trio.run(leave_during_stop.play, leave_during_stop.LeaveDuringStop())
+    result = trio.run(stop_scenarios.leave_during_stop, stop_scenarios.StopScenario(stopped_s=0.8))
     print(result)
     assert not result.violations, result.violations[:3]
