A start waits for the first event or comment of the coordinator's stream, then for quiet

The stand-ins of tests send a comment with the head, as that of the processes does, so that a start takes no longer there.

--- a/rookbend/net/catch_up.py
+++ b/rookbend/net/catch_up.py
@@ -4,9 +4,10 @@
 to the director, although only a stream of the coordinator brings it. Until a stream has begun and has brought them,
 new requests are held (`core/held_requests.py`) and the director does not report that it is ready.
 
-The protocol marks no end of the earlier events: they have arrived once the stream has been quiet for `QUIET_US`, or has
-lasted for `MAX_DELIVERY_US`. A director that can't reach the coordinator serves after `MAX_CATCH_UP_US` with what it
-knows, as one does that has lost it. The same holds for a director that was stopped until its stream had ended.
+The protocol marks no end of the earlier events: they have arrived once the stream has been quiet for `QUIET_US` behind
+an event or a comment, or has lasted for `MAX_DELIVERY_US`. A director that can't reach the coordinator serves after
+`MAX_CATCH_UP_US` with what it knows, as one does that has lost it. The same holds for a director that was stopped until
+its stream had ended.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from rookbend.core.engine import Engine
 
 QUIET_US = 200_000
-MAX_DELIVERY_US = 1_000_000
+MAX_DELIVERY_US = 1_500_000  # the first comment comes within a second
 MAX_CATCH_UP_US = 5_000_000  # with up to 4 s for the start of the process, ready within 10 s
 
 
@@ -42,10 +43,10 @@
         """A stream of the coordinator has begun."""
         self._delivered_by_us = self._clock.now() + MAX_DELIVERY_US
 
-    def delivered_at_us(self, has_partial_event: bool) -> int:
-        """When the earlier events count as delivered if nothing more is received; `has_partial_event` tells whether
-        the stream has stopped within one."""
-        if has_partial_event:
+    def delivered_at_us(self, is_between_events: bool) -> int:
+        """When the earlier events count as delivered if nothing more is received; `is_between_events` is false before
+        the first event or comment, and within one."""
+        if not is_between_events:
             return self._delivered_by_us
         return min(self._clock.now() + QUIET_US, self._delivered_by_us)
 
--- a/rookbend/net/stream_reader.py
+++ b/rookbend/net/stream_reader.py
@@ -24,9 +24,9 @@
         self._clock = clock
 
     @property
-    def has_partial_event(self) -> bool:
-        """Whether what was received so far ends within an event."""
-        return self._events.has_partial_event
+    def is_between_events(self) -> bool:
+        """Whether what was received so far has a first event or comment, and does not end within one."""
+        return self._events.has_body and not self._events.has_partial_event
 
     async def receive_until(self, at_us: int) -> list[StreamItem] | None:
         """The items of the next bytes; None if there are none by this time. Raises one of CALL_ERRORS."""
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -166,7 +166,7 @@
     async def _receive(self, stream: StreamReader) -> list[StreamItem]:
         """What is received next. Raises one of CALL_ERRORS, also if the stream is silent."""
         if not self.catch_up.is_complete:
-            items = await stream.receive_until(self.catch_up.delivered_at_us(stream.has_partial_event))
+            items = await stream.receive_until(self.catch_up.delivered_at_us(stream.is_between_events))
             if items is not None:
                 return items
             self.catch_up.delivered()
--- a/rookbend/protocol/event_stream.py
+++ b/rookbend/protocol/event_stream.py
@@ -39,6 +39,7 @@
     def __init__(self, host: str, path: str, last_index: int) -> None:
         """`last_index` is the number of the last known event: the stream starts after it."""
         self.has_begun = False  # the response's head was received, with status 200
+        self.has_body = False  # and an event, a comment or a part of one behind it
         self._http = h11.Connection(h11.CLIENT)
         self._request = h11.Request(
             method="GET",
@@ -82,6 +83,7 @@
             raise StreamError(f"invalid HTTP response: {error}") from None
 
     def _read_events(self, data: bytes) -> list[StreamItem]:
+        self.has_body = True
         self._line_buffer += data
         if len(self._line_buffer) > MAX_EVENT_BYTES:
             raise StreamError(f"event longer than {MAX_EVENT_BYTES} bytes")
--- a/rookbend/testing/measurement_fleet.py
+++ b/rookbend/testing/measurement_fleet.py
@@ -105,7 +105,7 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serves one director until it disconnects."""
         await stream.receive_some()
-        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n")
         self.streams.append(stream)
         try:
             while True:
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -12,6 +12,7 @@
 from tests import router_harness
 from tests.director_scenario import run_with_director
 from tests.engine_harness import EngineHarness
+from tests.scripted_coordinator import HEAD, ScriptedCoordinator, chunk
 
 MAX_CATCH_UP_S = catch_up.MAX_CATCH_UP_US / 1e6
 MAX_DELIVERY_S = catch_up.MAX_DELIVERY_US / 1e6
@@ -59,6 +60,19 @@
     run(check)
 
 
+def test_events_that_come_after_the_head_of_the_answer_are_waited_for():
+    async def check(harness):
+        coordinator = await ScriptedCoordinator(harness).open()
+        _, _, stream = await coordinator.next_call()
+        await harness.play(LONG_REQUEST)
+        await stream.send_all(HEAD)
+        await trio.sleep(0.9)
+        await stream.send_all(chunk(drain_of_cache1(harness)))
+        await harness.play(GOES_TO_THE_PARENT)
+
+    run(check)
+
+
 def test_a_stream_that_never_pauses_delays_requests_for_a_limited_time():
     async def check(harness):
         await harness.play(LONG_REQUEST)
