After a pause requests are held for a second at most if the coordinator is away

A stream that ends in a pause of 0.5 s or more held requests for up to 5 s, the limit of a start. On a busy machine whose coordinator goes away that would refuse seconds of requests for a list that is no older than the pause. The task of the limit also slept on from an earlier catch-up. tests/test_loop_pause.py::test_after_a_pause_without_a_coordinator_... failed with the task as it was (4.79 s), and holds now (1.1 s).

--- a/rookbend/net/catch_up.py
+++ b/rookbend/net/catch_up.py
@@ -6,19 +6,22 @@
 
 The protocol marks no end of the earlier events: they have arrived once the stream has been quiet for `QUIET_US` behind
 an event or a comment, or has lasted for `MAX_DELIVERY_US`. A director that can't reach the coordinator serves after
-`MAX_CATCH_UP_US` with what it knows, as one does that has lost it. The same holds for a director that was stopped until
-its stream had ended.
+`MAX_START_US` with what it knows, as one does that has lost it. A director that was stopped until its stream had ended
+waits for `MAX_AFTER_PAUSE_US`: its list is not older than the pause.
 """
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from rookbend.core.engine import Engine
 
 QUIET_US = 200_000
 MAX_DELIVERY_US = 1_500_000  # the first comment comes within a second
-MAX_CATCH_UP_US = 5_000_000  # with up to 4 s for the start of the process, ready within 10 s
+MAX_START_US = 5_000_000  # with up to 4 s for the start of the process, ready within 10 s
+MAX_AFTER_PAUSE_US = 1_000_000
 
 
 class CatchUp:
@@ -29,14 +32,16 @@
         self._engine = engine
         self._clock = engine.clock
         self._began_us = 0
-        self._begun = trio.Event()
+        self._limit_us = 0
+        self._changed = trio.Event()  # a catch-up has begun or ended
         self._delivered_by_us = 0
 
-    def begin(self) -> None:
-        """Holds new requests from now on."""
+    def begin(self, limit_us: int) -> None:
+        """Holds new requests from now on, for `limit_us` at most."""
         self.is_complete = False
         self._began_us = self._clock.now()
-        self._begun.set()
+        self._limit_us = limit_us
+        self._changed.set()
         self._engine.held_requests.is_holding = True
 
     def stream_began(self) -> None:
@@ -57,14 +62,17 @@
     async def limit(self) -> None:
         """Ends each catch-up when its time is over; runs until cancelled."""
         while True:
-            await self._begun.wait()
-            self._begun = trio.Event()
-            await trio.sleep_until(self._clock.monotonic_at(self._began_us + MAX_CATCH_UP_US))
-            if not self.is_complete:
+            self._changed = trio.Event()
+            ends_us = self._began_us + self._limit_us
+            ends_s = math.inf if self.is_complete else self._clock.monotonic_at(ends_us)
+            with trio.move_on_at(ends_s) as scope:
+                await self._changed.wait()
+            if scope.cancelled_caught and not self.is_complete:
                 self._complete("catch_up_incomplete", "warning")
 
     def _complete(self, event: str, level: str = "info") -> None:
         self.is_complete = True
+        self._changed.set()
         after_ms = (self._clock.now() - self._began_us) // 1000
         released = self._engine.held_requests.release()
         self._engine.log(event, level, after_ms=after_ms, released=released)
--- a/rookbend/net/watch.py
+++ b/rookbend/net/watch.py
@@ -14,7 +14,7 @@
 from rookbend.core.engine import Engine
 from rookbend.core.model import MembershipChange, Purge
 from rookbend.core.reported_times import ReportedTimes
-from rookbend.net.catch_up import CatchUp
+from rookbend.net.catch_up import MAX_AFTER_PAUSE_US, MAX_START_US, CatchUp
 from rookbend.net.coordinator_calls import CALL_ERRORS, AnsweredCall, CoordinatorCalls
 from rookbend.net.loop_pause import LoopPauseInstrument
 from rookbend.net.reconnect_backoff import ReconnectBackoff
@@ -67,7 +67,7 @@
         if known.updates:
             self.engine.log("known_events_applied", index=self.last_index, members=len(self.engine.endpoints))
         if self.address is not None:
-            self.catch_up.begin()
+            self.catch_up.begin(MAX_START_US)
 
     def gauges(self) -> dict[str, float]:
         """Gauges for the metrics, by name."""
@@ -186,7 +186,7 @@
         except StreamError:
             stream.is_ended = True  # raised again by the next read of the task that follows the stream
         if stream.is_ended and pause_us >= MAX_UNFOLLOWED_PAUSE_US:
-            self.catch_up.begin()
+            self.catch_up.begin(MAX_AFTER_PAUSE_US)
 
     def _process(self, items: list[StreamItem]) -> None:
         """Applies received events. Raises StreamError at the end of the stream."""
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -14,7 +14,7 @@
 from tests.engine_harness import EngineHarness
 from tests.scripted_coordinator import HEAD, ScriptedCoordinator, chunk
 
-MAX_CATCH_UP_S = catch_up.MAX_CATCH_UP_US / 1e6
+MAX_START_S = catch_up.MAX_START_US / 1e6
 MAX_DELIVERY_S = catch_up.MAX_DELIVERY_US / 1e6
 QUIET_S = catch_up.QUIET_US / 1e6
 LONG_REQUEST = "client send request 1 video budget=60000"
@@ -102,7 +102,7 @@
     async def check(harness):
         began_s = trio.current_time()
         await harness.play(f"{LONG_REQUEST}\ncache1 expect do")
-        assert MAX_CATCH_UP_S - 0.1 <= trio.current_time() - began_s <= MAX_CATCH_UP_S + 0.1
+        assert MAX_START_S - 0.1 <= trio.current_time() - began_s <= MAX_START_S + 0.1
 
     run(check)
 
--- a/tests/test_loop_pause.py
+++ b/tests/test_loop_pause.py
@@ -10,6 +10,7 @@
 from rookbend.core.clock import Clock
 from rookbend.core.model import Request
 from rookbend.net import watch
+from rookbend.net.catch_up import MAX_AFTER_PAUSE_US
 from rookbend.net.loop_pause import MIN_PAUSE_S, LoopPauseInstrument
 from rookbend.testing.open_loop_client import REQUEST_FRAME, encode_frame
 from tests.director_scenario import OBJ, run_with_director
@@ -76,6 +77,19 @@
     run_with_director(check)
 
 
+def test_after_a_pause_without_a_coordinator_requests_are_held_for_a_limited_time():
+    async def check(harness):
+        coordinator = harness.actors["coordinator"]
+        coordinator.answering = trio.Event()
+        coordinator.streams[-1].socket.shutdown(trio.socket.SHUT_WR)
+        harness.service.watch.loop_paused(LONG_PAUSE_US)
+        began_s = trio.current_time()
+        await harness.play("client send request 1 video budget=60000\ncache1 expect do")
+        assert trio.current_time() - began_s <= MAX_AFTER_PAUSE_US / 1e6 + 0.1
+
+    run_with_director(check)
+
+
 @pytest.mark.parametrize("count", [3, 30])
 def test_attempts_in_the_send_buffer_are_withheld_from_a_member_that_drains(count):
     async def check(harness):
