--- a/rookbend/core/engine.py
+++ b/rookbend/core/engine.py
@@ -58,6 +58,7 @@
         self.log = log
         self.peers: PeerTransport | None = None
         self.on_peer_message: Callable[[int, bytes], bool] | None = None  # takes messages not meant for the router
+        self._has_backend = False
         self.lag_us = 0  # latest delay of the event loop: data read now may have waited this long
         self.timers = TimerQueue()
         self.traffic_classes = TrafficClassIndex(settings, clock)
@@ -113,6 +114,7 @@
     @backend.setter
     def backend(self, backend: Backend) -> None:
         self.attempts.backend = backend
+        self._has_backend = True
 
     @property
     def retry_after_us(self) -> int:
@@ -198,13 +200,13 @@
         if transitions := state_transitions(previous, self.endpoints, updated):
             self.log("membership_changed", version=change.version, complete=change.complete, **transitions)
         self._post(updated)
-        self.backend.withhold_unsent()
+        self._withhold_unsent()
 
     def health_changed(self, endpoints: list[Endpoint]) -> None:
         """Applies the members whose state or weight, by health evidence, differs from that of the membership."""
         self.counters.judgements += len(endpoints)
         self._post(self.membership.apply(MembershipChange(False, 0, endpoints)))
-        self.backend.withhold_unsent()
+        self._withhold_unsent()
 
     def member_restarted(self, server: int) -> None:
         """Handles a detected restart: the member counts as started now until the membership reports its start."""
@@ -220,7 +222,13 @@
         """Handles a purge: attempts that were decided before it are no longer written."""
         self.counters.purges += 1
         self._post(self.purges.record(purge))
-        self.backend.withhold_unsent()
+        self._withhold_unsent()
+
+    def _withhold_unsent(self) -> None:
+        """Takes back attempts that may not be sent any more. Before there is a backend, recovery applies what it has
+        kept from an earlier process, and nothing was sent."""
+        if self._has_backend:
+            self.backend.withhold_unsent()
 
     def set_admission_limits(self, rejected_classes: frozenset[int], fills_per_s: float | None) -> None:
         """Sets the router's admission limits: see `interface.AdmissionLimitsChanged`."""
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -6,7 +6,9 @@
 
 from rookbend import interface as api
 from rookbend.core.clock import Clock
-from rookbend.core.model import AttemptResult, FinalOutcome, Purge
+from rookbend.core.counters import Counters
+from rookbend.core.engine import Engine
+from rookbend.core.model import AttemptResult, Endpoint, FinalOutcome, MembershipChange, Purge
 from rookbend.interface import AttemptStatus, MemberState
 from rookbend.routing import Router
 from tests import router_harness
@@ -196,3 +198,14 @@
     submit_keyed(harness, retry_scope=scope)
     harness.engine.finished(harness.sent[0], AttemptResult(AttemptStatus.TIMEOUT))
     assert len(harness.sent) == sent
+
+
+def test_what_recovery_has_kept_is_applied_before_there_is_a_backend():
+    # Guards against a start that ends with an exception at the first purge of an earlier process.
+    settings = router_harness.settings()
+    clock = Clock(lambda: 100.0, lambda: 100.0)
+    engine = Engine(settings, Router(settings, 7), clock, Counters(), lambda *_, **__: None)
+    engine.purged(Purge(5, 0, clock.now()))
+    engine.membership_changed(MembershipChange(True, 1, [Endpoint(CACHE, "c1", ("127.0.0.1", 1))]))
+    engine.health_changed([Endpoint(CACHE, "c1", ("127.0.0.1", 1))])
+    assert engine.is_in_service(CACHE.server)
