--- a/rookbend/assembly.py
+++ b/rookbend/assembly.py
@@ -54,9 +54,8 @@
     """Builds the watch, which follows the coordinator's event stream, and connects what takes note of loop pauses."""
     translator = Translator(config.settings.zones, config.settings.kinds)
     watch = Watch(engine, translator, coordinator_address(config), int(config.seed, 16))
-    # A process may be stopped in the middle of a task's step too.
-    write_scheduler.before_send = watch.loop_pause.before_task_step
-    client_listener.front.before_request = watch.loop_pause.before_task_step
+    check = watch.loop_pause.check
+    write_scheduler.before_send = client_listener.front.before_request = metrics.before_timers = check
     watch.loop_pause.on_pause += [
         client_listener.loop_paused,
         metrics.loop_paused,
--- a/rookbend/net/loop_pause.py
+++ b/rookbend/net/loop_pause.py
@@ -1,4 +1,4 @@
-"""Notices that the event loop has run no task for a while: the process was stopped, or got no processor time.
+"""Notices that the event loop has stood still for a while: the process was stopped, or got no processor time.
 
 What arrived in the meantime waits in the sockets, and the tasks that read them run in no particular order.
 """
@@ -22,18 +22,26 @@
 
 
 class LoopPauseInstrument(trio.abc.Instrument):
-    """Calls each of `on_pause` with the length of a pause of the loop, in microseconds, before any task runs."""
+    """Calls each of `on_pause` with the length of a pause of the loop, in microseconds.
+
+    It looks in each turn of the loop before any task runs. A process may be stopped in the middle of a turn too:
+    `check` is called before what must not be done on old knowledge.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.on_pause: list[Callable[[int], None]] = []
         self._monotonic_s = clock.monotonic_s
-        self._last_step_s = clock.monotonic_s()
+        self._last_check_s = clock.monotonic_s()
+
+    def after_io_wait(self, timeout: float) -> None:
+        """See trio.abc.Instrument."""
+        self.check()
 
-    def before_task_step(self, task: trio.lowlevel.Task | None = None) -> None:
-        """Reports a pause since the last call; see trio.abc.Instrument."""
+    def check(self) -> None:
+        """Reports a pause since the last check."""
         now_s = self._monotonic_s()
-        pause_s = now_s - self._last_step_s
-        self._last_step_s = now_s
+        pause_s = now_s - self._last_check_s
+        self._last_check_s = now_s
         if pause_s >= MIN_PAUSE_S:
             for callback in self.on_pause:
                 callback(int(pause_s * 1e6))
--- a/rookbend/process_metrics.py
+++ b/rookbend/process_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import trio
@@ -38,6 +39,7 @@
         self.full_lag_us = full_lag_us
         self.pool: Pool | None = None
         self.max_lag_us = 0  # since `take_max_lag_us`
+        self.before_timers: Callable[[], None] = lambda: None  # called before timers are run
         self._has_paused = False  # the event loop, since timers were run
         self._timer_due_earlier = trio.Event()
         engine.timers.on_earlier_due = self._wake_timers
@@ -54,6 +56,7 @@
         engine = self.engine
         clock = engine.clock
         while True:
+            self.before_timers()
             if self._has_paused:
                 self._has_paused = False
                 await let_readers_run()
--- a/tests/test_loop_pause.py
+++ b/tests/test_loop_pause.py
@@ -51,7 +51,7 @@
     instrument.on_pause.append(pauses.append)
     for step_s in (0.05, 0.0999, 1.5, 0.0, 0.25):
         now_s[0] += step_s
-        instrument.before_task_step()
+        instrument.check()
     assert [round(pause_us, -3) for pause_us in pauses] == [1_500_000, 250_000]
 
 
