At the least memory, requests that clients are writing hold a 64th of it at most

Cause: no margin: alone it took 31.76 to 31.99 MB there and 31.57 to 31.95 here; of a 32nd (1 MB) of bodies each byte is held about twice.

--- a/rookbend/resource_budget.py
+++ b/rookbend/resource_budget.py
@@ -8,7 +8,7 @@
 CLIENT_DESCRIPTORS_DIVISOR = 3  # clients may use this part of the descriptors: one third
 MIN_MEMBER_CONNECTIONS = 16
 INPUT_MEMORY_DIVISOR = 4  # requests may hold this part of the memory that was free at the start: a quarter
-MIN_INPUT_MEMORY_DIVISOR = 32  # and at least this part of all memory
+MIN_INPUT_MEMORY_DIVISOR = 64  # and at least this part of all memory
 UNSENT_MEMORY_DIVISOR = 4  # answers that clients have not read may use this part of the memory: a quarter
 BYTES_PER_MB_SHIFT = 20
 
