Whether a start has caught up is derived from the holding of requests

CatchUp.is_complete mirrored HeldRequests.is_holding: set and cleared at the same points. It is a property now. No change of behaviour: 117 tests of the catch-up, the stream, the lifecycle and the fronts and the six of test_unheard_events.py pass.

--- a/rookbend/net/catch_up.py
+++ b/rookbend/net/catch_up.py
@@ -25,10 +25,9 @@
 
 
 class CatchUp:
-    """`is_complete` tells whether requests are passed on."""
+    """Begins and ends the holding of requests."""
 
     def __init__(self, engine: Engine) -> None:
-        self.is_complete = True
         self._engine = engine
         self._clock = engine.clock
         self._began_us = 0
@@ -36,9 +35,13 @@
         self._changed = trio.Event()  # a catch-up has begun or ended
         self._delivered_by_us = 0
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether requests are passed on."""
+        return not self._engine.held_requests.is_holding
+
     def begin(self, limit_us: int) -> None:
         """Holds new requests from now on, for `limit_us` at most."""
-        self.is_complete = False
         self._began_us = self._clock.now()
         self._limit_us = limit_us
         self._changed.set()
@@ -71,7 +74,6 @@
                 self._complete("catch_up_incomplete", "warning")
 
     def _complete(self, event: str, level: str = "info") -> None:
-        self.is_complete = True
         self._changed.set()
         after_ms = (self._clock.now() - self._began_us) // 1000
         released = self._engine.held_requests.release()
