--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -1,7 +1,5 @@
 """A director that starts holds new requests until it has caught up with the coordinator (net/catch_up.py)."""
 
-import json
-
 import pytest
 import trio
 
@@ -12,7 +10,7 @@
 from tests import router_harness
 from tests.director_scenario import run_with_director
 from tests.engine_harness import EngineHarness
-from tests.scripted_coordinator import HEAD, ScriptedCoordinator, chunk
+from tests.scripted_coordinator import HEAD, ScriptedCoordinator, chunk, event
 
 MAX_START_S = catch_up.MAX_START_US / 1e6
 MAX_DELIVERY_S = catch_up.MAX_DELIVERY_US / 1e6
@@ -22,8 +20,7 @@
 
 
 def drain_of_cache1(harness):
-    event = {"index": 2, "endpoints": {"members": [harness.member("cache1", "DRAINING")]}}
-    return f"id: 2\ndata: {json.dumps(event)}\n\n".encode()
+    return event(2, {"endpoints": {"members": [harness.member("cache1", "DRAINING")]}})
 
 
 def run(check, **options):
@@ -53,8 +50,8 @@
 def test_an_event_that_arrives_in_pieces_is_waited_for(pause_s):
     async def check(harness):
         await harness.play(LONG_REQUEST)
-        event = drain_of_cache1(harness)
-        await coordinator_answers(harness, event[:30], event[30:60], event[60:], pause_s=pause_s)
+        drain = drain_of_cache1(harness)
+        await coordinator_answers(harness, drain[:30], drain[30:60], drain[60:], pause_s=pause_s)
         await harness.play(GOES_TO_THE_PARENT)
 
     run(check)
--- a/tests/test_loop_pause.py
+++ b/tests/test_loop_pause.py
@@ -1,6 +1,5 @@
 """After a pause of the event loop, what the coordinator has sent counts before anything else is done."""
 
-import json
 import os
 
 import pytest
@@ -14,6 +13,7 @@
 from rookbend.net.loop_pause import MIN_PAUSE_S, LoopPauseInstrument
 from rookbend.testing.open_loop_client import REQUEST_FRAME, encode_frame
 from tests.director_scenario import OBJ, run_with_director
+from tests.scripted_coordinator import event
 
 SHORT_PAUSE_US = int(MIN_PAUSE_S * 1e6)
 LONG_PAUSE_US = watch.MAX_UNFOLLOWED_PAUSE_US
@@ -27,9 +27,9 @@
 
 def send_drain(harness, name):
     """Writes the event to the director's stream without letting the event loop run."""
-    event = {"index": 2, "endpoints": {"members": [harness.member(name, "DRAINING")]}}
     stream = harness.actors["coordinator"].streams[-1]
-    os.write(stream.socket.fileno(), f"id: 2\ndata: {json.dumps(event)}\n\n".encode())
+    drain = event(2, {"endpoints": {"members": [harness.member(name, "DRAINING")]}})
+    os.write(stream.socket.fileno(), drain)
 
 
 def server_of(harness, name):
